Add the workspace, the design page and the shared types

Cause: the project starts here; nothing was built before. Ruled out: one crate for everything, since the decisions have to run without sockets and clocks in tests. Before: nothing. Conclusion: the modules named in docs/design.md can be written side by side.

--- /dev/null
+++ b/chervildrift/src/main.rs
@@ -0,0 +1,2 @@
+//! The chervildrift program.
+fn main() {}
--- /dev/null
+++ b/chervildrift_bench/src/main.rs
@@ -0,0 +1,42 @@
+//! Load tool and measurements.
+//!
+//! Each subcommand makes one table of `docs/measurements.md` or `docs/CAPACITY.md`.
+
+mod failover;
+mod fleet;
+mod floods;
+mod path;
+mod reads;
+
+use clap::{Parser, Subcommand};
+
+/// Load tool and measurements of chervildrift.
+#[derive(Debug, Parser)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Measures the gap and the safety of primary changes.
+    Failover(failover::Args),
+    /// Measures the control cost of one VM in fleets of several sizes.
+    Fleet(fleet::Args),
+    /// Measures service by rank in floods of each rank.
+    Floods(floods::Args),
+    /// Measures the whole path against running processes.
+    Path(path::Args),
+    /// Measures the share of reads served by replicas.
+    Reads(reads::Args),
+}
+
+fn main() {
+    match Cli::parse().command {
+        Command::Failover(args) => failover::run(&args),
+        Command::Fleet(args) => fleet::run(&args),
+        Command::Floods(args) => floods::run(&args),
+        Command::Path(args) => path::run(&args),
+        Command::Reads(args) => reads::run(&args),
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/burn/mod.rs
@@ -0,0 +1,1 @@
+//! Service-level burn over several windows.
--- /dev/null
+++ b/chervildrift_core/src/config/mod.rs
@@ -0,0 +1,1 @@
+//! Settings of a VM and declarations of the operators.
--- /dev/null
+++ b/chervildrift_core/src/dispatch/mod.rs
@@ -0,0 +1,1 @@
+//! Queues and slots of one upstream.
--- /dev/null
+++ b/chervildrift_core/src/failover/mod.rs
@@ -0,0 +1,1 @@
+//! Coordination of a change of primary.
--- /dev/null
+++ b/chervildrift_core/src/generation/mod.rs
@@ -0,0 +1,1 @@
+//! Generations of the published configuration.
--- /dev/null
+++ b/chervildrift_core/src/group/mod.rs
@@ -0,0 +1,1 @@
+//! Observed state of one database group.
--- /dev/null
+++ b/chervildrift_core/src/limit/mod.rs
@@ -0,0 +1,1 @@
+//! Adaptive concurrency limit and retry budget.
--- /dev/null
+++ b/chervildrift_core/src/membership/mod.rs
@@ -0,0 +1,1 @@
+//! Failure detection and membership among the VMs.
--- /dev/null
+++ b/chervildrift_core/src/placement/mod.rs
@@ -0,0 +1,1 @@
+//! Placement of dispatchers by rendezvous hashing.
--- /dev/null
+++ b/chervildrift_core/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of an upstream and a dispatcher for a request.
--- /dev/null
+++ b/chervildrift_core/src/token/mod.rs
@@ -0,0 +1,1 @@
+//! Session tokens that callers hold.
--- /dev/null
+++ b/chervildrift_core/src/trace/mod.rs
@@ -0,0 +1,1 @@
+//! Recorded events and their replay.
--- /dev/null
+++ b/chervildrift_core/src/transaction/mod.rs
@@ -0,0 +1,1 @@
+//! Limits on open transactions.
--- /dev/null
+++ b/chervildrift_core/src/types/status.rs
@@ -0,0 +1,66 @@
+//! What an upstream reports of itself.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+use super::{Mark, Term};
+
+/// Rank of a kind of work, most urgent first.
+#[derive(
+    Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Rank {
+    /// Confirmations and acceptances.
+    #[display("urgent")]
+    Urgent,
+    /// Edits.
+    #[display("routine")]
+    Routine,
+    /// Browsing and reports.
+    #[display("bulk")]
+    Bulk,
+}
+
+impl Rank {
+    /// Number of ranks.
+    pub const COUNT: usize = 3;
+
+    /// All ranks, most urgent first.
+    pub const ALL: [Self; Self::COUNT] = [Self::Urgent, Self::Routine, Self::Bulk];
+
+    /// Returns the index of the rank in [`Rank::ALL`].
+    #[must_use]
+    pub const fn index(self) -> usize {
+        self as usize
+    }
+}
+
+/// Role of an upstream in its database group.
+#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Role {
+    /// Takes writes.
+    #[display("primary")]
+    Primary,
+    /// Follows a primary.
+    #[display("replica")]
+    Replica,
+}
+
+/// Answer of an upstream to a status read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Current role.
+    pub role: Role,
+    /// Highest term the upstream was fenced at; it takes nothing from a lower one.
+    pub fenced: Term,
+    /// Last entry that is durable in the upstream's log.
+    pub received: Mark,
+    /// Last entry that reads at the upstream can see.
+    pub applied: Mark,
+    /// Time since a replica last heard from its primary, if it ever did.
+    pub heard: Option<Duration>,
+}
--- /dev/null
+++ b/chervildrift_core/src/types/time.rs
@@ -0,0 +1,53 @@
+//! Monotonic time as the core sees it.
+
+use std::ops::{Add, Sub};
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::{Deserialize, Serialize};
+
+/// Microseconds since the VM's process started.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    Display,
+    Eq,
+    Hash,
+    Ord,
+    PartialEq,
+    PartialOrd,
+    Serialize,
+    Deserialize,
+)]
+#[display("{_0} us")]
+#[serde(transparent)]
+pub struct Time(pub u64);
+
+impl Time {
+    /// Returns the time that passed since `earlier`, or zero if that lies ahead.
+    #[must_use]
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Time {
+    type Output = Self;
+
+    fn add(self, rhs: Duration) -> Self {
+        Self(
+            self.0
+                .saturating_add(u64::try_from(rhs.as_micros()).unwrap_or(u64::MAX)),
+        )
+    }
+}
+
+impl Sub for Time {
+    type Output = Duration;
+
+    fn sub(self, rhs: Self) -> Duration {
+        self.since(rhs)
+    }
+}
