Add the upstream adapter, the HTTP listeners, logs and metrics

Cause: the program had no outside. Ruled out: a shared connection for several requests, since an answer that is still outstanding could then reach another caller; and waiting for status behind callers' statements, since a busy upstream would look dead. Change: leases that return a connection only when it is clean, writes with an idempotency record in the same transaction and a term check on both sides of it, problem details by RFC 9457 that state what became of the request, and a limit on open connections of callers. Before/After: not measured; the parts compile and are not joined yet. Conclusion: the event loop can be built on these.

--- /dev/null
+++ b/chervildrift/src/http/body.rs
@@ -0,0 +1,100 @@
+//! Request bodies as callers send them.
+
+use std::pin::pin;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use tokio::time::timeout;
+use xitca_web::body::{BodyExt, RequestBody};
+
+use crate::peer::Statement;
+use crate::work::{Problem, ProblemKind, check_statement};
+
+/// Largest body of a request, in bytes.
+pub(super) const MAX_BODY_BYTES: usize = 256 * 1024;
+
+/// Most statements in one request.
+const MAX_STATEMENTS: usize = 64;
+
+/// Body of a request that runs or opens something.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct RunBody {
+    pub key: String,
+    #[serde(default)]
+    pub statements: Vec<StatementBody>,
+    pub max_age_ms: Option<u64>,
+    pub deadline_ms: Option<u64>,
+    pub idempotency_key: Option<String>,
+}
+
+/// Body of a step in a transaction.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct ExecuteBody {
+    pub statements: Vec<StatementBody>,
+}
+
+/// A statement as callers write it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(super) struct StatementBody {
+    sql: String,
+    params: Option<Box<RawValue>>,
+}
+
+/// Receives a body of limited size within a limited time.
+pub(super) async fn receive(body: RequestBody, limit: Duration) -> Result<Vec<u8>, Problem> {
+    timeout(limit, collect(body))
+        .await
+        .unwrap_or_else(|_elapsed| {
+            let detail = format!("the body did not arrive within {limit:?}");
+            Err(Problem::not_run(ProblemKind::ReceiveTimeout, detail))
+        })
+}
+
+async fn collect(body: RequestBody) -> Result<Vec<u8>, Problem> {
+    let mut body = pin!(body);
+    let mut bytes = Vec::new();
+    while let Some(chunk) = body.as_mut().data().await {
+        let chunk = chunk
+            .map_err(|err| Problem::not_run(ProblemKind::MalformedRequest, err.to_string()))?;
+        bytes.extend_from_slice(&chunk);
+        if bytes.len() > MAX_BODY_BYTES {
+            let detail = format!("a body has at most {MAX_BODY_BYTES} bytes");
+            return Err(Problem::not_run(ProblemKind::BodyTooLarge, detail));
+        }
+    }
+    Ok(bytes)
+}
+
+/// Parses a JSON body.
+pub(super) fn parse<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T, Problem> {
+    serde_json::from_slice(bytes)
+        .map_err(|err| Problem::not_run(ProblemKind::MalformedRequest, err.to_string()))
+}
+
+/// Checks and converts the statements of a request.
+pub(super) fn statements(list: Vec<StatementBody>) -> Result<Vec<Statement>, Problem> {
+    if list.len() > MAX_STATEMENTS {
+        let detail = format!("a request has at most {MAX_STATEMENTS} statements");
+        return Err(Problem::not_run(ProblemKind::MalformedRequest, detail));
+    }
+    list.into_iter().map(statement).collect()
+}
+
+fn statement(body: StatementBody) -> Result<Statement, Problem> {
+    check_statement(&body.sql)?;
+    let params = body
+        .params
+        .map_or_else(|| "[]".to_owned(), |raw| raw.get().to_owned());
+    if !params.starts_with('[') {
+        let detail = "`params` is a list";
+        return Err(Problem::not_run(ProblemKind::MalformedRequest, detail));
+    }
+    Ok(Statement {
+        sql: body.sql,
+        params,
+    })
+}
--- /dev/null
+++ b/chervildrift/src/http/mod.rs
@@ -0,0 +1,35 @@
+//! HTTP listeners for callers and for operators.
+
+mod answer;
+mod auth;
+mod body;
+mod callers;
+mod gate;
+mod operators;
+mod request;
+
+use std::io;
+use std::net::SocketAddr;
+
+use quick_error::quick_error;
+
+pub use self::auth::Credentials;
+pub use self::callers::{CallersHandle, Submit, bind as bind_callers};
+pub use self::operators::{OperatorsHandle, Probe, bind as bind_operators};
+
+quick_error! {
+    /// Why a listener could not be opened.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The address can't be bound.
+        Bind(address: SocketAddr, err: io::Error) {
+            display("cannot listen on {address}: {err}")
+            source(err)
+        }
+    }
+}
+
+/// Stops a running server; the argument tells whether open connections may finish.
+#[derive(derive_more::Debug)]
+#[debug("Stopper")]
+struct Stopper(Box<dyn Fn(bool) + Send + Sync>);
--- /dev/null
+++ b/chervildrift/src/http/operators.rs
@@ -0,0 +1,103 @@
+//! Listener for operators: metrics, liveness and readiness.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
+
+use xitca_web::App;
+use xitca_web::WebContext;
+use xitca_web::body::ResponseBody;
+use xitca_web::handler::handler_service;
+use xitca_web::http::{StatusCode, WebResponse, header};
+use xitca_web::route::get;
+
+use super::{Error, Stopper};
+
+/// What the listener shows, as functions of the event loop's side.
+#[derive(derive_more::Debug)]
+#[debug("Probe")]
+pub struct Probe {
+    /// Tells whether the event loop makes progress.
+    pub alive: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Tells whether the VM takes callers' requests.
+    pub ready: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Renders the metrics.
+    pub metrics: Box<dyn Fn() -> Vec<u8> + Send + Sync>,
+    /// Renders the report on service-level burn as JSON.
+    pub burn: Box<dyn Fn() -> Vec<u8> + Send + Sync>,
+}
+
+/// A running listener for operators.
+#[derive(Debug)]
+pub struct OperatorsHandle {
+    address: SocketAddr,
+    stopper: Stopper,
+}
+
+impl OperatorsHandle {
+    /// Returns the address that the listener has.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Closes the listener.
+    pub fn stop(&self) {
+        (self.stopper.0)(false);
+    }
+}
+
+/// Opens the listener.
+pub fn bind(listen: SocketAddr, probe: Probe) -> Result<OperatorsHandle, Error> {
+    let failed = |err| Error::Bind(listen, err);
+    let listener = TcpListener::bind(listen).map_err(failed)?;
+    let address = listener.local_addr().map_err(failed)?;
+    let mut server = App::new()
+        .with_state(Arc::new(probe))
+        .at("/metrics", get(handler_service(metrics)))
+        .at("/live", get(handler_service(live)))
+        .at("/ready", get(handler_service(ready)))
+        .at("/burn", get(handler_service(burn)))
+        .serve()
+        .worker_threads(1)
+        .disable_signal()
+        .listen(listener)
+        .map_err(failed)?
+        .run();
+    let control = server.handle().map_err(failed)?;
+    thread::spawn(move || server.wait());
+    let stopper = Stopper(Box::new(move |graceful| control.stop(graceful)));
+    Ok(OperatorsHandle { address, stopper })
+}
+
+async fn metrics(ctx: &WebContext<'_, Arc<Probe>>) -> WebResponse {
+    text((ctx.state().metrics)(), "text/plain; version=0.0.4")
+}
+
+async fn burn(ctx: &WebContext<'_, Arc<Probe>>) -> WebResponse {
+    text((ctx.state().burn)(), "application/json")
+}
+
+async fn live(ctx: &WebContext<'_, Arc<Probe>>) -> WebResponse {
+    state((ctx.state().alive)(), "alive", "event loop stalled")
+}
+
+async fn ready(ctx: &WebContext<'_, Arc<Probe>>) -> WebResponse {
+    state((ctx.state().ready)(), "ready", "not ready")
+}
+
+fn state(good: bool, yes: &'static str, no: &'static str) -> WebResponse {
+    let mut response = text(if good { yes } else { no }.into(), "text/plain");
+    if !good {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    }
+    response
+}
+
+fn text(body: Vec<u8>, kind: &'static str) -> WebResponse {
+    let mut response = WebResponse::new(ResponseBody::from(body));
+    response
+        .headers_mut()
+        .insert(header::CONTENT_TYPE, header::HeaderValue::from_static(kind));
+    response
+}
--- /dev/null
+++ b/chervildrift/src/http/request.rs
@@ -0,0 +1,138 @@
+//! Callers' requests, from method, path and body to a call.
+
+use std::time::Duration;
+
+use chervildrift_core::types::{Kind, Service};
+use xitca_web::http::{HeaderMap, Method, header};
+
+use super::answer::{SESSION_COOKIE, SESSION_HEADER};
+use super::body::{ExecuteBody, RunBody, parse, statements};
+use crate::work::{Problem, ProblemKind, Run, Step};
+
+/// Longest key that picks an instance, and longest idempotency key, in bytes.
+const MAX_KEY_BYTES: usize = 255;
+
+/// Reads the session token from its header or cookie.
+pub(super) fn session(headers: &HeaderMap) -> Option<String> {
+    let direct = headers
+        .get(SESSION_HEADER)
+        .and_then(|value| value.to_str().ok());
+    direct.or_else(|| cookie(headers)).map(str::to_owned)
+}
+
+fn cookie(headers: &HeaderMap) -> Option<&str> {
+    let all = headers
+        .get_all(header::COOKIE)
+        .iter()
+        .filter_map(|value| value.to_str().ok());
+    let pairs = all.flat_map(|line| line.split(';'));
+    pairs
+        .filter_map(|pair| pair.trim().split_once('='))
+        .find(|(name, _)| *name == SESSION_COOKIE)
+        .map(|(_, value)| value)
+}
+
+/// Reads what is asked for and, where the path names it, the service that is addressed.
+pub(super) fn step(
+    method: &Method,
+    path: &str,
+    body: &[u8],
+) -> Result<(Option<Service>, Step), Problem> {
+    let segments: Vec<&str> = path.trim_matches('/').split('/').collect();
+    match segments.as_slice() {
+        ["v1", "outcomes", service, key, record] => {
+            expect(method, &Method::GET)?;
+            let step = Step::Outcome {
+                key: decode(key)?,
+                record: decode(record)?,
+            };
+            Ok((Some(Service::from(*service)), step))
+        }
+        ["v1", "transactions", id, action] => {
+            expect(method, &Method::POST)?;
+            Ok((None, transaction(id, action, body)?))
+        }
+        ["v1", service, kind, "transactions"] => {
+            expect(method, &Method::POST)?;
+            Ok((
+                Some(Service::from(*service)),
+                Step::Open(run(kind, body, false)?),
+            ))
+        }
+        ["v1", service, kind] => {
+            expect(method, &Method::POST)?;
+            Ok((
+                Some(Service::from(*service)),
+                Step::Run(run(kind, body, true)?),
+            ))
+        }
+        _ => Err(Problem::not_run(
+            ProblemKind::NotFound,
+            format!("nothing is at {path}"),
+        )),
+    }
+}
+
+fn expect(method: &Method, wanted: &Method) -> Result<(), Problem> {
+    if method == wanted {
+        return Ok(());
+    }
+    let detail = format!("this path takes {wanted}");
+    Err(Problem::not_run(ProblemKind::MethodNotAllowed, detail))
+}
+
+fn transaction(id: &str, action: &str, body: &[u8]) -> Result<Step, Problem> {
+    let transaction = id.to_owned();
+    match action {
+        "execute" => {
+            let body: ExecuteBody = parse(body)?;
+            Ok(Step::Execute {
+                transaction,
+                statements: statements(body.statements)?,
+            })
+        }
+        "commit" => Ok(Step::Commit { transaction }),
+        "rollback" => Ok(Step::Rollback { transaction }),
+        _ => Err(Problem::not_run(
+            ProblemKind::NotFound,
+            format!("no action {action}"),
+        )),
+    }
+}
+
+fn run(kind: &str, body: &[u8], statements_needed: bool) -> Result<Run, Problem> {
+    let body: RunBody = parse(body)?;
+    check_key("key", &body.key)?;
+    if let Some(record) = &body.idempotency_key {
+        check_key("idempotency_key", record)?;
+    }
+    if statements_needed && body.statements.is_empty() {
+        let detail = "`statements` holds at least one statement";
+        return Err(Problem::not_run(ProblemKind::MalformedRequest, detail));
+    }
+    Ok(Run {
+        kind: Kind::from(kind),
+        key: body.key,
+        statements: statements(body.statements)?,
+        max_age: body.max_age_ms.map(Duration::from_millis),
+        deadline: body.deadline_ms.map(Duration::from_millis),
+        record: body.idempotency_key,
+    })
+}
+
+fn check_key(field: &str, key: &str) -> Result<(), Problem> {
+    if !key.is_empty() && key.len() <= MAX_KEY_BYTES && !key.chars().any(char::is_control) {
+        return Ok(());
+    }
+    let detail = format!("`{field}` has 1 to {MAX_KEY_BYTES} bytes without control characters");
+    Err(Problem::not_run(ProblemKind::MalformedRequest, detail))
+}
+
+/// Decodes the percent-encoding of a path segment.
+fn decode(segment: &str) -> Result<String, Problem> {
+    let text = percent_encoding::percent_decode_str(segment).decode_utf8();
+    let text =
+        text.map_err(|err| Problem::not_run(ProblemKind::MalformedRequest, err.to_string()))?;
+    check_key("key", &text)?;
+    Ok(text.into_owned())
+}
--- /dev/null
+++ b/chervildrift/src/lib.rs
@@ -0,0 +1,8 @@
+//! The chervildrift program as a library, so that tests can run its parts.
+
+pub mod http;
+pub mod logs;
+pub mod metrics;
+pub mod peer;
+pub mod upstream;
+pub mod work;
--- a/chervildrift/src/main.rs
+++ b/chervildrift/src/main.rs
@@ -1,2 +1,3 @@
 //! The chervildrift program.
+
 fn main() {}
--- /dev/null
+++ b/chervildrift/src/metrics/mod.rs
@@ -0,0 +1,111 @@
+//! Metrics of one VM.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Bounds of the latency histogram, in seconds.
+const LATENCY_BOUNDS: [f64; 12] = [
+    0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+];
+
+/// Metrics of one VM.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests by service, kind, rank and result.
+    pub requests: IntCounterVec,
+    /// Time from arrival to answer, in seconds, by service and rank.
+    pub latency: HistogramVec,
+    /// Reads by service and by what served them.
+    pub reads: IntCounterVec,
+    /// Queued work by upstream and rank.
+    pub queued: IntGaugeVec,
+    /// Changes of primary that this VM carried through, by service and instance.
+    pub promotions: IntCounterVec,
+    /// Generation of the configuration in force.
+    pub generation: IntGauge,
+    /// Members by state.
+    pub members: IntGaugeVec,
+    /// Breaches of invariants.
+    pub breaches: IntGauge,
+    /// Burn rate by service, kind and window.
+    pub burn: prometheus::GaugeVec,
+}
+
+impl Metrics {
+    /// Opens the metrics with a registry of their own.
+    pub fn open() -> Result<Self, prometheus::Error> {
+        let registry = Registry::new();
+        let metrics = Self {
+            requests: counters(
+                "requests_total",
+                "Requests by result",
+                &["service", "kind", "rank", "result"],
+            )?,
+            latency: HistogramVec::new(
+                HistogramOpts::new(
+                    "chervildrift_latency_seconds",
+                    "Time from arrival to answer",
+                )
+                .buckets(LATENCY_BOUNDS.to_vec()),
+                &["service", "rank"],
+            )?,
+            reads: counters(
+                "reads_total",
+                "Reads by what served them",
+                &["service", "served_by"],
+            )?,
+            queued: gauges("queued", "Queued work", &["upstream", "rank"])?,
+            promotions: counters(
+                "promotions_total",
+                "Changes of primary",
+                &["service", "instance"],
+            )?,
+            generation: gauge("generation", "Generation of the configuration in force")?,
+            members: gauges("members", "Members by state", &["state"])?,
+            breaches: gauge("invariant_breaches", "Breaches of invariants")?,
+            burn: prometheus::GaugeVec::new(
+                Opts::new("chervildrift_burn_rate", "Burn rate of the error budget"),
+                &["service", "kind", "window"],
+            )?,
+            registry,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    /// Returns all metrics in prometheus' text format.
+    pub fn render(&self) -> Result<Vec<u8>, prometheus::Error> {
+        self.breaches
+            .set(i64::try_from(chervildrift_core::invariant::count()).unwrap_or(i64::MAX));
+        let mut out = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut out)?;
+        Ok(out)
+    }
+
+    fn register(&self) -> Result<(), prometheus::Error> {
+        self.registry.register(Box::new(self.requests.clone()))?;
+        self.registry.register(Box::new(self.latency.clone()))?;
+        self.registry.register(Box::new(self.reads.clone()))?;
+        self.registry.register(Box::new(self.queued.clone()))?;
+        self.registry.register(Box::new(self.promotions.clone()))?;
+        self.registry.register(Box::new(self.generation.clone()))?;
+        self.registry.register(Box::new(self.members.clone()))?;
+        self.registry.register(Box::new(self.breaches.clone()))?;
+        self.registry.register(Box::new(self.burn.clone()))
+    }
+}
+
+fn counters(name: &str, help: &str, labels: &[&str]) -> Result<IntCounterVec, prometheus::Error> {
+    IntCounterVec::new(Opts::new(format!("chervildrift_{name}"), help), labels)
+}
+
+fn gauges(name: &str, help: &str, labels: &[&str]) -> Result<IntGaugeVec, prometheus::Error> {
+    IntGaugeVec::new(Opts::new(format!("chervildrift_{name}"), help), labels)
+}
+
+fn gauge(name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    IntGauge::new(format!("chervildrift_{name}"), help)
+}
--- /dev/null
+++ b/chervildrift/src/upstream/control.rs
@@ -0,0 +1,116 @@
+//! Status reads and orders on a connection of their own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervildrift_core::types::{Mark, Status, Term};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+use tokio_postgres::types::{ToSql, Type};
+
+use super::connection::number;
+use super::{Connection, Error, Login, sql};
+
+/// Answer to a fence or a promotion.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Vote {
+    /// Whether the upstream did what was asked.
+    pub granted: bool,
+    /// Highest term the upstream is fenced at.
+    pub fenced: Term,
+    /// Last entry in its log.
+    pub received: Mark,
+}
+
+/// Connection for status reads and orders, apart from callers' work.
+///
+/// Waiting behind callers' statements would make a busy upstream look dead.
+#[derive(Debug)]
+pub struct Control {
+    address: SocketAddr,
+    login: Login,
+    limit: Duration,
+    connection: Mutex<Option<Connection>>,
+}
+
+impl Control {
+    /// Opens a control link whose calls each take at most `limit`.
+    #[must_use]
+    pub fn open(address: SocketAddr, login: &Login, limit: Duration) -> Self {
+        Self {
+            address,
+            login: login.clone(),
+            limit,
+            connection: Mutex::default(),
+        }
+    }
+
+    /// Reads the status.
+    pub async fn status(&self) -> Result<Status, Error> {
+        self.call(async |connection| connection.status().await)
+            .await
+    }
+
+    /// Fences the upstream at `term`.
+    pub async fn fence(&self, term: Term, promoter: &str) -> Result<Vote, Error> {
+        self.call(async |connection| vote(connection, sql::FENCE, term, promoter).await)
+            .await
+    }
+
+    /// Promotes the upstream at `term`.
+    pub async fn promote(&self, term: Term, promoter: &str) -> Result<Vote, Error> {
+        self.call(async |connection| vote(connection, sql::PROMOTE, term, promoter).await)
+            .await
+    }
+
+    /// Orders the upstream to follow the primary at `address`.
+    pub async fn follow(&self, address: SocketAddr, term: Term) -> Result<(), Error> {
+        let address = address.to_string();
+        let term = signed(term)?;
+        let params: [(&(dyn ToSql + Sync), Type); 2] =
+            [(&address, Type::TEXT), (&term, Type::INT8)];
+        self.call(async |connection| connection.query(sql::FOLLOW, &params).await.map(drop))
+            .await
+    }
+
+    /// Runs a call on the connection; one that fails or takes too long is closed.
+    async fn call<T>(
+        &self,
+        run: impl AsyncFnOnce(&Connection) -> Result<T, Error>,
+    ) -> Result<T, Error> {
+        let bounded = timeout(self.limit, async {
+            let mut slot = self.connection.lock().await;
+            let connection = match slot.take() {
+                Some(connection) if !connection.is_closed() => connection,
+                _ => Connection::open(self.address, &self.login).await?,
+            };
+            let value = run(&connection).await?;
+            *slot = Some(connection);
+            Ok(value)
+        });
+        bounded.await.unwrap_or(Err(Error::Timeout(self.limit)))
+    }
+}
+
+async fn vote(
+    connection: &Connection,
+    text: &str,
+    term: Term,
+    promoter: &str,
+) -> Result<Vote, Error> {
+    let term = signed(term)?;
+    let params: [(&(dyn ToSql + Sync), Type); 2] = [(&term, Type::INT8), (&promoter, Type::TEXT)];
+    let rows = connection.query(text, &params).await?;
+    let row = rows
+        .first()
+        .ok_or(Error::Unexpected("vote without a row"))?;
+    Ok(Vote {
+        granted: row.try_get(0)?,
+        fenced: number(row, 1)?.into(),
+        received: Mark::new(number(row, 2)?, number(row, 3)?),
+    })
+}
+
+fn signed(term: Term) -> Result<i64, Error> {
+    i64::try_from(term.0).map_err(|_overflow| Error::Unexpected("a term out of range"))
+}
--- /dev/null
+++ b/chervildrift/src/upstream/mod.rs
@@ -0,0 +1,21 @@
+//! Adapter to the upstreams over `PostgreSQL`'s wire protocol.
+//!
+//! This module alone knows the statements for status, fence, promotion and following, and the
+//! table of idempotency records. Another database needs this module and nothing else.
+
+mod connection;
+mod control;
+mod error;
+mod pool;
+mod read;
+mod sql;
+mod value;
+mod write;
+
+pub use self::connection::{Connection, Login};
+pub use self::control::{Control, Vote};
+pub use self::error::Error;
+pub use self::pool::{Lease, Pool};
+pub use self::read::{Read, read};
+pub use self::value::Statement;
+pub use self::write::{Record, Settled, Written, begin, commit, execute, rollback, settle, write};
--- /dev/null
+++ b/chervildrift/src/upstream/read.rs
@@ -0,0 +1,43 @@
+//! Reads at an upstream.
+
+use chervildrift_core::types::Status;
+use futures::future::{join, join_all, join4};
+use serde_json::Value;
+
+use super::{Error, Lease, Statement, sql};
+
+/// A read that ran.
+#[derive(Debug)]
+pub struct Read {
+    /// Status of the upstream, read on the same connection before the statements.
+    pub status: Status,
+    /// Results of the statements.
+    pub results: Vec<Value>,
+}
+
+/// Runs statements in a read-only transaction, after a status read in the same pipeline.
+///
+/// The answer may be used only if its status covers what the caller must see.
+pub async fn read(lease: Lease, statements: &[Statement]) -> Result<Read, Error> {
+    let begin = lease.command(sql::BEGIN_READ);
+    let status = lease.status();
+    let results = join_all(statements.iter().map(|it| lease.run(it)));
+    let end = lease.command(sql::ROLLBACK);
+    let (begin, status, results, end) = join4(begin, status, results, end).await;
+    begin?;
+    end?;
+    lease.release();
+    let results = results.into_iter().collect::<Result<Vec<_>, _>>()?;
+    Ok(Read {
+        status: status?,
+        results,
+    })
+}
+
+/// Runs two adapter calls in one pipeline, in this order.
+pub(super) async fn pipeline<A, B>(
+    first: impl Future<Output = A>,
+    second: impl Future<Output = B>,
+) -> (A, B) {
+    join(first, second).await
+}
--- /dev/null
+++ b/chervildrift/src/work/statement.rs
@@ -0,0 +1,49 @@
+//! Which statements callers may send.
+
+use super::{Problem, ProblemKind};
+
+/// Statements that neither end a transaction nor leave state on a connection.
+const ALLOWED: [&str; 11] = [
+    "select", "insert", "update", "delete", "with", "values", "create", "alter", "drop", "merge",
+    "truncate",
+];
+
+/// Prefix of the functions and tables that belong to the proxy.
+const RESERVED: &str = "chervildrift_";
+
+/// Refuses a statement that could break the transaction or session it runs in.
+///
+/// A caller's `COMMIT` would end the transaction that holds its idempotency record, and a `SET`
+/// would change the connection for the next caller.
+pub fn check_statement(sql: &str) -> Result<(), Problem> {
+    let lower = sql.to_ascii_lowercase();
+    let word = first_word(&lower);
+    if !ALLOWED.contains(&word) {
+        let detail = format!("statements that begin with `{word}` are not taken");
+        return Err(Problem::not_run(ProblemKind::StatementNotAllowed, detail));
+    }
+    if lower.contains(RESERVED) {
+        let detail = "names that begin with `chervildrift_` are reserved";
+        return Err(Problem::not_run(ProblemKind::StatementNotAllowed, detail));
+    }
+    Ok(())
+}
+
+/// Returns the first word after white space, parentheses and comments.
+fn first_word(sql: &str) -> &str {
+    let mut rest = sql;
+    loop {
+        rest = rest.trim_start_matches(|c: char| c.is_whitespace() || c == '(' || c == ';');
+        if let Some(comment) = rest.strip_prefix("--") {
+            rest = comment.split_once('\n').map_or("", |(_, after)| after);
+        } else if let Some(comment) = rest.strip_prefix("/*") {
+            rest = comment.split_once("*/").map_or("", |(_, after)| after);
+        } else {
+            break;
+        }
+    }
+    let end = rest
+        .find(|c: char| !c.is_ascii_alphabetic())
+        .unwrap_or(rest.len());
+    &rest[..end]
+}
--- a/chervildrift_core/src/config/explain.rs
+++ b/chervildrift_core/src/config/explain.rs
@@ -20,11 +20,8 @@
 operators:
   listen: IP:PORT             metrics, liveness and readiness (required)
 peers:
-  listen: IP:PORT             TCP listener for other VMs (required)
-  threads: 1                  threads that carry the links
-gossip:
-  listen: IP:PORT             UDP socket for membership (required)
-  seeds: []                   gossip addresses to join by when the platform is away
+  listen: IP:PORT             TCP and UDP, for the other VMs (required)
+  seeds: []                   addresses to join by when the platform is away
 platform:
   address: IP:PORT            table service and object store (required)
 keys:
--- a/chervildrift_core/src/config/mod.rs
+++ b/chervildrift_core/src/config/mod.rs
@@ -19,6 +19,6 @@
 pub use self::error::Error;
 pub use self::explain::explain;
 pub use self::settings::{
-    Callers, Credential, Gossip, Keys, Log, LogFormat, LogLevel, Operators, Peers, Platform,
-    Settings, Stop, UpstreamLogin,
+    Callers, Credential, Keys, Log, LogFormat, LogLevel, Operators, Peers, Platform, Settings,
+    Stop, UpstreamLogin,
 };
--- a/chervildrift_core/src/config/settings.rs
+++ b/chervildrift_core/src/config/settings.rs
@@ -21,8 +21,6 @@
     pub operators: Operators,
     /// Link to the other VMs.
     pub peers: Peers,
-    /// Membership messages.
-    pub gossip: Gossip,
     /// The platform.
     pub platform: Platform,
     /// Keys of the fleet.
@@ -91,26 +89,9 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct Peers {
-    /// Address to listen on.
-    pub listen: SocketAddr,
-    /// Threads that carry the links.
-    #[serde(default = "Peers::threads")]
-    pub threads: usize,
-}
-
-impl Peers {
-    const fn threads() -> usize {
-        1
-    }
-}
-
-/// Membership messages between the VMs.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct Gossip {
-    /// Address to listen on.
+    /// Address to listen on, for TCP links and for UDP membership messages.
     pub listen: SocketAddr,
-    /// Gossip addresses of VMs to join by when the platform is away.
+    /// Addresses of VMs to join by when the platform is away.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
 }
--- a/chervildrift_core/tests/operator_files.rs
+++ b/chervildrift_core/tests/operator_files.rs
@@ -24,10 +24,22 @@
         ("slots: 5", "slots: 0", "slots is 0"),
         ("rank: bulk", "rank: lowest", "lowest"),
         ("access: read", "acess: read", "acess"),
-        ("address: \"127.0.0.1:5501\"", "address: \"db.example\"", "no address"),
+        (
+            "address: \"127.0.0.1:5501\"",
+            "address: \"db.example\"",
+            "no address",
+        ),
         ("urgent: 30", "urgent: 90", "add up to 120"),
-        ("target_percent: 99.9", "target_percent: 100", "target of 100"),
-        ("name: edit-booking", "name: confirm-booking", "declared twice"),
+        (
+            "target_percent: 99.9",
+            "target_percent: 100",
+            "target of 100",
+        ),
+        (
+            "name: edit-booking",
+            "name: confirm-booking",
+            "declared twice",
+        ),
     ];
     for (right, wrong, problem) in cases {
         let findings = check(&FEDERATION.replacen(right, wrong, 1)).expect_err(wrong);
@@ -45,7 +57,10 @@
     let one = Bundle::collect([first.clone(), second.clone()]).expect("distinct services");
     let two = Bundle::collect([second, first.clone()]).expect("distinct services");
     let body = one.encode().expect("encodes");
-    assert_eq!(Bundle::hash(&body), Bundle::hash(&two.encode().expect("encodes")));
+    assert_eq!(
+        Bundle::hash(&body),
+        Bundle::hash(&two.encode().expect("encodes"))
+    );
     assert_eq!(Bundle::decode(&body).expect("decodes"), one);
     assert!(Bundle::collect([first.clone(), first]).is_err());
 }
@@ -54,8 +69,18 @@
 #[test]
 fn keys_stay() {
     let declaration = check(FEDERATION).expect("valid");
-    let picked = ["farm-1", "farm-2", "farm-3", "farm-4"]
-        .map(|key| declaration.group(key).expect("a group").instance.to_string());
-    let pinned = ["ledger-canterbury", "ledger-waikato", "ledger-canterbury", "ledger-waikato"];
+    let picked = ["farm-1", "farm-2", "farm-3", "farm-4"].map(|key| {
+        declaration
+            .group(key)
+            .expect("a group")
+            .instance
+            .to_string()
+    });
+    let pinned = [
+        "ledger-canterbury",
+        "ledger-waikato",
+        "ledger-canterbury",
+        "ledger-waikato",
+    ];
     assert_eq!(picked, pinned);
 }
