Add the scheduler of an upstream, its limits and open transactions

Cause: the overload policy of docs/design.md had no code. Ruled out: lazy deletion of cancelled jobs, since a caller that submits and cancels while its rank waits would grow a queue without bound; one queue per caller and kind in a map, since a decision would then search it. Change: dispatch::Scheduler with floors, fair queueing by kind, turns by caller, early refusal, bounded queues, load, reserve, pause and ramp; limit::Adaptive and limit::RetryBudget; transaction::Transactions. Before: nothing. Decision cost and floods: not measured. Conclusion: a first complete version to measure against.

--- a/chervildrift_core/src/dispatch/mod.rs
+++ b/chervildrift_core/src/dispatch/mod.rs
@@ -1,1 +1,22 @@
 //! Queues and slots of one upstream.
+//!
+//! The scheduler decides at once whether a job can be run before its deadline and which waiting job
+//! gets the next free slot. A rank below its floor of slot time goes first, otherwise the most
+//! urgent rank does; within a rank the kinds share by weight, and within a kind the callers take
+//! turns.
+
+mod admit;
+mod estimate;
+mod gate;
+mod job;
+mod kind;
+mod lists;
+mod policy;
+mod queue;
+mod scheduler;
+mod select;
+mod usage;
+
+pub use self::job::{Finish, Job, JobId, JobIds, Load, RankLoad, Refusal};
+pub use self::policy::{KindPolicy, Policy, RAMP, WINDOW};
+pub use self::scheduler::Scheduler;
--- /dev/null
+++ b/chervildrift_core/src/dispatch/policy.rs
@@ -0,0 +1,59 @@
+//! Rules of one upstream, as the operators declare them.
+
+use std::time::Duration;
+
+use crate::types::{Kind, Rank};
+
+/// Time constant over which slot time is measured when none is declared.
+pub const WINDOW: Duration = Duration::from_millis(500);
+
+/// Time in which the slots open after a failover when none is declared.
+pub const RAMP: Duration = Duration::from_secs(1);
+
+/// Rules of one upstream.
+#[derive(Clone, Debug)]
+pub struct Policy {
+    /// Statements that may run at once.
+    pub slots: usize,
+    /// Greatest number of waiting jobs of each rank, in the order of [`Rank::ALL`].
+    pub queue_limits: [usize; Rank::COUNT],
+    /// Share of slot time that each rank keeps under any load; together at most 1.
+    pub floors: [f64; Rank::COUNT],
+    /// Kinds of work that may be submitted.
+    pub kinds: Vec<KindPolicy>,
+    /// Time constant over which the use of slots is measured.
+    pub window: Duration,
+    /// Time for which the last free slot is kept from bulk work; zero keeps none.
+    pub reserve: Duration,
+    /// Time in which the slots open one by one after a failover.
+    pub ramp: Duration,
+}
+
+/// Rules of one kind of work.
+#[derive(Clone, Debug)]
+pub struct KindPolicy {
+    /// Name of the kind.
+    pub kind: Kind,
+    /// Rank of the kind.
+    pub rank: Rank,
+    /// Weight against the other kinds of the rank.
+    pub share: f64,
+    /// Statements of the kind that may run at once.
+    pub concurrency: usize,
+    /// Service time that is expected until the first statements have finished.
+    pub service: Duration,
+}
+
+impl KindPolicy {
+    /// Builds the rules of a kind with share 1 and no concurrency limit of its own.
+    #[must_use]
+    pub fn new(kind: Kind, rank: Rank, service: Duration) -> Self {
+        Self {
+            kind,
+            rank,
+            share: 1.0,
+            concurrency: usize::MAX,
+            service,
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/dispatch/scheduler.rs
@@ -0,0 +1,357 @@
+//! The scheduler of one upstream.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use super::gate::Gate;
+use super::job::{Finish, Job, JobId, JobIds, Refusal};
+use super::kind::KindState;
+use super::lists::Lists;
+use super::policy::{KindPolicy, Policy};
+use super::queue::Waiting;
+use super::usage::Usage;
+use crate::invariant;
+use crate::limit::{Adaptive, Sample};
+use crate::types::{Kind, Rank, Time};
+
+/// Queues, slots and estimates of one upstream.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    pub(super) policy: Policy,
+    pub(super) names: HashMap<Kind, usize>,
+    pub(super) kinds: Vec<KindState>,
+    /// Indices of the kinds of each rank.
+    pub(super) ranks: [Vec<usize>; Rank::COUNT],
+    pub(super) queued: [usize; Rank::COUNT],
+    pub(super) running: [usize; Rank::COUNT],
+    /// Fair-queueing clock of each rank: what the kind served last had spent.
+    pub(super) clocks: [f64; Rank::COUNT],
+    pub(super) usage: Usage,
+    pub(super) gate: Gate,
+    /// Since when at least one slot has been free.
+    pub(super) spare: Time,
+    jobs: Lists<Waiting>,
+    index: HashMap<JobId, u32>,
+    /// Waiting jobs by their latest useful start.
+    starts: BTreeSet<(Time, u32)>,
+    held: HashMap<JobId, Held>,
+    adaptive: Adaptive,
+    expired: JobIds,
+}
+
+/// A job that holds a slot.
+#[derive(Clone, Copy, Debug)]
+struct Held {
+    kind: usize,
+    started: Time,
+    charged: f64,
+}
+
+impl Scheduler {
+    /// Opens the scheduler of an idle upstream.
+    #[must_use]
+    pub fn open(policy: &Policy) -> Self {
+        let mut scheduler = Self {
+            policy: policy.clone(),
+            names: HashMap::new(),
+            kinds: Vec::new(),
+            ranks: [const { Vec::new() }; Rank::COUNT],
+            queued: [0; Rank::COUNT],
+            running: [0; Rank::COUNT],
+            clocks: [0.0; Rank::COUNT],
+            usage: Usage::open(policy.window),
+            gate: Gate::Open,
+            spare: Time::default(),
+            jobs: Lists::new(),
+            index: HashMap::new(),
+            starts: BTreeSet::new(),
+            held: HashMap::new(),
+            adaptive: Adaptive::open(policy.slots),
+            expired: JobIds::new(),
+        };
+        scheduler.declare(&policy.kinds);
+        scheduler
+    }
+
+    /// Replaces the policy; jobs that wait or run are kept.
+    pub fn apply(&mut self, now: Time, policy: &Policy) {
+        self.advance(now);
+        self.usage.resize(policy.window);
+        self.adaptive.resize(policy.slots);
+        self.policy = policy.clone();
+        self.declare(&policy.kinds);
+    }
+
+    /// Takes a job into its queue, or refuses it as not run.
+    pub fn submit(&mut self, now: Time, job: Job) -> Result<(), Refusal> {
+        self.advance(now);
+        let kind = self.admit(now, &job)?;
+        let latest = self.latest(kind, job.deadline);
+        let rank = self.kinds[kind].rules.rank.index();
+        self.wake(kind);
+        let waiting = Waiting {
+            id: job.id,
+            kind,
+            lane: 0,
+            latest,
+        };
+        let queue = &mut self.kinds[kind].queue;
+        let key = queue.push(&mut self.jobs, job.caller, waiting);
+        self.index.insert(job.id, key);
+        self.starts.insert((latest, key));
+        self.queued[rank] += 1;
+        Ok(())
+    }
+
+    /// Hands out the job that gets the next free slot.
+    pub fn next(&mut self, now: Time) -> Option<JobId> {
+        self.advance(now);
+        while self.total() < self.open_slots(now) {
+            let kind = self.choose(now)?;
+            let waiting = self.kinds[kind].queue.pop(&mut self.jobs)?;
+            self.forget(&waiting);
+            if waiting.latest < now {
+                self.expired.push(waiting.id);
+                continue;
+            }
+            return self.start(now, &waiting);
+        }
+        None
+    }
+
+    /// Frees the slot of a job that was handed out.
+    pub fn finish(&mut self, now: Time, id: JobId, finish: Finish) {
+        self.advance(now);
+        let Some(held) = self.held.remove(&id) else {
+            invariant::breach("dispatch-finish", "the job holds no slot");
+            return;
+        };
+        if self.total() >= self.open_slots(now) {
+            self.spare = now;
+        }
+        let kind = &mut self.kinds[held.kind];
+        kind.running -= 1;
+        self.running[kind.rules.rank.index()] -= 1;
+        let took = now.since(held.started);
+        kind.charge(took.as_micros() as f64 - held.charged);
+        self.learn(now, held.kind, took, finish);
+    }
+
+    /// Takes a waiting job out of its queue; false if it is running or unknown.
+    pub fn cancel(&mut self, id: JobId) -> bool {
+        let Some(key) = self.index.get(&id).copied() else {
+            return false;
+        };
+        self.withdraw(key).is_some()
+    }
+
+    /// Returns the jobs that can no longer finish in time; none of them was run.
+    pub fn expire(&mut self, now: Time) -> JobIds {
+        let mut expired = std::mem::take(&mut self.expired);
+        while let Some((latest, key)) = self.starts.first().copied() {
+            if latest >= now {
+                break;
+            }
+            match self.withdraw(key) {
+                Some(id) => expired.push(id),
+                None => break,
+            }
+        }
+        expired
+    }
+
+    /// Stops handing out jobs while the upstream is replaced.
+    pub fn pause(&mut self, now: Time) {
+        self.advance(now);
+        self.gate = Gate::Paused;
+    }
+
+    /// Hands out jobs again, in rank order and on few slots at first.
+    pub fn resume(&mut self, now: Time) {
+        self.advance(now);
+        self.gate = Gate::Ramping(now);
+    }
+
+    /// Returns when `next` or `expire` should be called although nothing else happens.
+    #[must_use]
+    pub fn due(&self, now: Time) -> Option<Time> {
+        let microsecond = Duration::from_micros(1);
+        let expiry = self.starts.first().map(|(latest, _)| *latest + microsecond);
+        let expiry = if self.expired.is_empty() {
+            expiry
+        } else {
+            Some(now)
+        };
+        let opening = self.gate.due(now, self.limit(), self.policy.ramp);
+        let opening = opening.filter(|_| !self.index.is_empty());
+        let reserve = self.reserve_end(now);
+        [expiry, opening, reserve].into_iter().flatten().min()
+    }
+
+    /// Returns the number of statements that may run at once, below the declared slots when the
+    /// upstream has slowed.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.adaptive.limit()
+    }
+
+    /// Returns the number of jobs of `rank` that hold a slot.
+    #[must_use]
+    pub const fn running(&self, rank: Rank) -> usize {
+        self.running[rank.index()]
+    }
+
+    /// Returns the number of jobs of `rank` that wait.
+    #[must_use]
+    pub const fn queued(&self, rank: Rank) -> usize {
+        self.queued[rank.index()]
+    }
+
+    /// Returns the share of slot time that `rank` used over the window.
+    #[must_use]
+    pub fn share(&self, rank: Rank) -> f64 {
+        self.usage.share(rank)
+    }
+
+    /// Tells whether a job with this id waits, runs or has expired without being reported yet.
+    pub(super) fn knows(&self, id: JobId) -> bool {
+        let active = self.index.contains_key(&id) || self.held.contains_key(&id);
+        active || self.expired.contains(&id)
+    }
+
+    /// Returns the number of slots in use.
+    pub(super) fn total(&self) -> usize {
+        self.running.iter().sum()
+    }
+
+    /// Returns the number of slots that may be used now.
+    pub(super) fn open_slots(&self, now: Time) -> usize {
+        self.gate.open_slots(now, self.limit(), self.policy.ramp)
+    }
+
+    fn advance(&mut self, now: Time) {
+        let slots = self.open_slots(now);
+        self.usage.advance(now, &self.running, slots);
+        self.gate = self.gate.advance(now, self.policy.ramp);
+    }
+
+    fn latest(&self, kind: usize, deadline: Time) -> Time {
+        let plan = self.kinds[kind].estimate.plan();
+        Time(deadline.since(Time(plan.as_micros() as u64)).as_micros() as u64)
+    }
+
+    /// Keeps a kind that had no work from saving up its share.
+    fn wake(&mut self, kind: usize) {
+        let kind = &mut self.kinds[kind];
+        if kind.queue.len() == 0 {
+            let clock = self.clocks[kind.rules.rank.index()];
+            kind.spent = kind.spent.max(clock);
+        }
+    }
+
+    fn start(&mut self, now: Time, waiting: &Waiting) -> Option<JobId> {
+        let open = self.open_slots(now);
+        if self.total() >= open {
+            invariant::breach("dispatch-slots", "a job was handed out without a free slot");
+            return None;
+        }
+        let kind = &mut self.kinds[waiting.kind];
+        let rank = kind.rules.rank.index();
+        let charged = kind.estimate.mean();
+        self.clocks[rank] = kind.spent;
+        kind.charge(charged);
+        kind.running += 1;
+        self.running[rank] += 1;
+        let held = Held {
+            kind: waiting.kind,
+            started: now,
+            charged,
+        };
+        if self.held.insert(waiting.id, held).is_some() {
+            invariant::breach("dispatch-twice", "a running job was handed out again");
+            return None;
+        }
+        Some(waiting.id)
+    }
+
+    fn learn(&mut self, now: Time, kind: usize, took: Duration, finish: Finish) {
+        let estimate = &mut self.kinds[kind].estimate;
+        match finish {
+            Finish::Done => {
+                let ratio = estimate.ratio(took);
+                let warm = estimate.warm();
+                estimate.learn(took, self.adaptive.lowered());
+                if warm {
+                    self.adaptive.observe(now, Sample::Answered(ratio));
+                }
+            }
+            Finish::Failed => self.adaptive.observe(now, Sample::Failed),
+            Finish::Abandoned => {}
+        }
+    }
+
+    fn withdraw(&mut self, key: u32) -> Option<JobId> {
+        let kind = self.jobs.get(key)?.kind;
+        let waiting = self.kinds[kind].queue.remove(&mut self.jobs, key)?;
+        self.forget(&waiting);
+        Some(waiting.id)
+    }
+
+    /// Drops what is known of a job that has left its queue.
+    fn forget(&mut self, waiting: &Waiting) {
+        let rank = self.kinds[waiting.kind].rules.rank.index();
+        self.queued[rank] -= 1;
+        let key = self.index.remove(&waiting.id);
+        let listed = key.is_some_and(|key| self.starts.remove(&(waiting.latest, key)));
+        if !listed {
+            invariant::breach("dispatch-index", "a waiting job was not indexed");
+        }
+        if self.index.len() != self.queued.iter().sum::<usize>() {
+            invariant::breach(
+                "dispatch-count",
+                "the queues and the index differ in length",
+            );
+        }
+    }
+
+    fn declare(&mut self, kinds: &[KindPolicy]) {
+        for kind in &mut self.kinds {
+            kind.declared = false;
+        }
+        for rules in kinds {
+            self.declare_kind(rules);
+        }
+        self.names.clear();
+        self.recount();
+    }
+
+    fn declare_kind(&mut self, rules: &KindPolicy) {
+        let known = |kind: &KindState| kind.rules.kind == rules.kind;
+        if let Some(kind) = self.kinds.iter_mut().find(|kind| known(kind)) {
+            kind.rules = rules.clone();
+            kind.declared = true;
+            return;
+        }
+        let opened = KindState::open(rules);
+        match self.kinds.iter_mut().find(|kind| kind.vacant()) {
+            Some(kind) => *kind = opened,
+            None => self.kinds.push(opened),
+        }
+    }
+
+    /// Derives names and counts of ranks from the kinds.
+    fn recount(&mut self) {
+        self.ranks.iter_mut().for_each(Vec::clear);
+        self.queued = [0; Rank::COUNT];
+        self.running = [0; Rank::COUNT];
+        for (at, kind) in self.kinds.iter().enumerate() {
+            let rank = kind.rules.rank.index();
+            self.ranks[rank].push(at);
+            self.queued[rank] += kind.queue.len();
+            self.running[rank] += kind.running;
+            if kind.declared {
+                self.names.insert(kind.rules.kind.clone(), at);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/limit/adaptive.rs
@@ -0,0 +1,119 @@
+//! Concurrency limit that follows the service time of an upstream.
+//!
+//! At the end of each short window the limit is multiplied by tolerated over observed slowness and
+//! raised by a headroom that grows with its square root. A healthy upstream is thus pushed back to
+//! its declared slots, while a slow one settles at a limit below them that still does work.
+
+use std::time::Duration;
+
+use crate::types::Time;
+
+/// Shortest window over which slowness is averaged.
+const WINDOW: Duration = Duration::from_millis(100);
+
+/// Fewest samples that a window is judged by; single service times spread too much.
+const WINDOW_SAMPLES: u32 = 16;
+
+/// Longest wait for that many samples; a stuck upstream finishes too few statements to count.
+const WINDOW_MAX: Duration = Duration::from_secs(1);
+
+/// Slowness up to which the limit is not lowered.
+const TOLERATED: f64 = 2.0;
+
+/// Slowness that a failed statement counts as.
+const FAILED: f64 = 8.0;
+
+/// Factor below which one window never takes the limit.
+const MAX_DROP: f64 = 0.5;
+
+/// Part of the limit's square root that is added in each window.
+const HEADROOM: f64 = 0.5;
+
+/// Limit below which the upstream would get nothing and could not show that it is well again.
+const LOWEST: f64 = 1.0;
+
+/// What a finished statement says about its upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Sample {
+    /// The statement was answered after this multiple of its usual service time.
+    Answered(f64),
+    /// The upstream failed the statement.
+    Failed,
+}
+
+/// Adaptive concurrency limit of one upstream.
+#[derive(Clone, Debug)]
+pub struct Adaptive {
+    slots: usize,
+    limit: f64,
+    since: Time,
+    sum: f64,
+    count: u32,
+}
+
+impl Adaptive {
+    /// Opens a limit at the declared `slots`.
+    #[must_use]
+    pub const fn open(slots: usize) -> Self {
+        Self {
+            slots,
+            limit: slots as f64,
+            since: Time(0),
+            sum: 0.0,
+            count: 0,
+        }
+    }
+
+    /// Returns the number of statements that may run at once.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        (self.limit as usize).min(self.slots)
+    }
+
+    /// Tells whether the limit is below the declared slots.
+    #[must_use]
+    pub fn lowered(&self) -> bool {
+        self.limit() < self.slots
+    }
+
+    /// Replaces the declared slots; a limit that was not lowered follows them.
+    pub fn resize(&mut self, slots: usize) {
+        let part = self.limit / self.slots.max(1) as f64;
+        self.slots = slots;
+        self.limit = self.clamp(part * slots as f64);
+    }
+
+    /// Takes in a finished statement. Refusals of the proxy itself must not be passed here.
+    pub fn observe(&mut self, now: Time, sample: Sample) {
+        if self.count == 0 {
+            self.since = now;
+        }
+        self.sum += match sample {
+            Sample::Answered(ratio) => ratio.min(FAILED),
+            Sample::Failed => FAILED,
+        };
+        self.count += 1;
+        if self.complete(now) {
+            self.adjust();
+        }
+    }
+
+    fn complete(&self, now: Time) -> bool {
+        let span = now.since(self.since);
+        let enough = span >= WINDOW && self.count >= WINDOW_SAMPLES;
+        enough || span >= WINDOW_MAX
+    }
+
+    fn adjust(&mut self) {
+        let slowness = self.sum / f64::from(self.count);
+        let factor = (TOLERATED / slowness.max(f64::EPSILON)).clamp(MAX_DROP, 1.0);
+        let headroom = HEADROOM * self.limit.sqrt();
+        self.limit = self.clamp(self.limit.mul_add(factor, headroom));
+        self.sum = 0.0;
+        self.count = 0;
+    }
+
+    fn clamp(&self, limit: f64) -> f64 {
+        limit.min(self.slots as f64).max(LOWEST)
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/limit/retry.rs
@@ -0,0 +1,78 @@
+//! Budget of retries of one kind, in proportion to its requests.
+//!
+//! Without it a failure that refuses most requests multiplies the load by the number of tries.
+
+use std::time::Duration;
+
+use crate::types::Time;
+
+/// Rules of a retry budget.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryRules {
+    /// Retries allowed for each request.
+    pub ratio: f64,
+    /// Retries allowed in a window beyond the ratio, so that a rarely used kind can retry at all.
+    pub constant: f64,
+    /// Time constant over which requests and retries are counted.
+    pub window: Duration,
+}
+
+impl Default for RetryRules {
+    fn default() -> Self {
+        Self {
+            ratio: 0.1,
+            constant: 3.0,
+            window: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Decaying counts of the requests and retries of one kind.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    rules: RetryRules,
+    at: Time,
+    requests: f64,
+    retries: f64,
+}
+
+impl RetryBudget {
+    /// Opens an unused budget.
+    #[must_use]
+    pub const fn open(rules: RetryRules) -> Self {
+        Self {
+            rules,
+            at: Time(0),
+            requests: 0.0,
+            retries: 0.0,
+        }
+    }
+
+    /// Counts a first try.
+    pub fn request(&mut self, now: Time) {
+        self.decay(now);
+        self.requests += 1.0;
+    }
+
+    /// Takes one retry out of the budget, if there is one left.
+    pub fn retry(&mut self, now: Time) -> bool {
+        self.decay(now);
+        let allowed = self.rules.ratio.mul_add(self.requests, self.rules.constant);
+        if self.retries + 1.0 > allowed {
+            return false;
+        }
+        self.retries += 1.0;
+        true
+    }
+
+    fn decay(&mut self, now: Time) {
+        let span = now.since(self.at).as_secs_f64();
+        if span <= 0.0 {
+            return;
+        }
+        self.at = now;
+        let kept = (-span / self.rules.window.as_secs_f64().max(f64::EPSILON)).exp();
+        self.requests *= kept;
+        self.retries *= kept;
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/transaction/limits.rs
@@ -0,0 +1,175 @@
+//! Open transactions of one upstream.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use derive_more::{Display, From, Into};
+use quick_error::quick_error;
+use smallvec::SmallVec;
+
+use crate::invariant;
+use crate::types::{Rank, Time};
+
+/// Id of an open transaction, unique at its dispatcher.
+#[derive(Clone, Copy, Debug, Display, Eq, From, Hash, Into, Ord, PartialEq, PartialOrd)]
+pub struct TransactionId(pub u64);
+
+/// Limits on the open transactions of one upstream.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Longest time between two statements of a transaction.
+    pub idle: Duration,
+    /// Connections that the open transactions of each rank may hold, in the order of [`Rank::ALL`].
+    pub held: [usize; Rank::COUNT],
+}
+
+quick_error! {
+    /// Why a transaction or a statement of one was not taken; nothing was run.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Refusal {
+        /// The open transactions of the rank hold all connections that it may hold.
+        RankFull(rank: Rank, limit: usize) {
+            display("not run: open {rank} transactions hold all {limit} connections of the rank")
+        }
+        /// A transaction with this id is open.
+        DuplicateId(id: TransactionId) {
+            display("not run: transaction {id} is already open")
+        }
+        /// No such transaction is open; it may have been idle for too long.
+        NotOpen(id: TransactionId) {
+            display("not run: transaction {id} is not open")
+        }
+        /// A statement of the transaction is still running.
+        Busy(id: TransactionId) {
+            display("not run: transaction {id} is running a statement")
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Open {
+    rank: Rank,
+    /// Time at which an idle transaction expires; none while a statement runs.
+    expiry: Option<Time>,
+}
+
+/// Open transactions of one upstream.
+#[derive(Clone, Debug)]
+pub struct Transactions {
+    limits: Limits,
+    open: HashMap<TransactionId, Open>,
+    expiries: BTreeSet<(Time, TransactionId)>,
+    held: [usize; Rank::COUNT],
+}
+
+impl Transactions {
+    /// Opens the account of an upstream without transactions.
+    #[must_use]
+    pub fn open(limits: &Limits) -> Self {
+        Self {
+            limits: limits.clone(),
+            open: HashMap::new(),
+            expiries: BTreeSet::new(),
+            held: [0; Rank::COUNT],
+        }
+    }
+
+    /// Replaces the limits; transactions that are open stay open.
+    pub fn apply(&mut self, limits: &Limits) {
+        self.limits = limits.clone();
+    }
+
+    /// Opens a transaction that is idle until its first statement.
+    pub fn begin(&mut self, now: Time, id: TransactionId, rank: Rank) -> Result<(), Refusal> {
+        if self.open.contains_key(&id) {
+            return Err(Refusal::DuplicateId(id));
+        }
+        let limit = self.limits.held[rank.index()];
+        if self.held[rank.index()] >= limit {
+            return Err(Refusal::RankFull(rank, limit));
+        }
+        let expiry = now + self.limits.idle;
+        self.held[rank.index()] += 1;
+        self.expiries.insert((expiry, id));
+        self.open.insert(
+            id,
+            Open {
+                rank,
+                expiry: Some(expiry),
+            },
+        );
+        Ok(())
+    }
+
+    /// Starts a statement of a transaction.
+    pub fn start(&mut self, now: Time, id: TransactionId) -> Result<(), Refusal> {
+        let open = self.open.get_mut(&id).ok_or(Refusal::NotOpen(id))?;
+        let expiry = open.expiry.ok_or(Refusal::Busy(id))?;
+        // An expired transaction must be rolled back even if `expire` was not called in time.
+        if expiry <= now {
+            return Err(Refusal::NotOpen(id));
+        }
+        open.expiry = None;
+        self.expiries.remove(&(expiry, id));
+        Ok(())
+    }
+
+    /// Ends a statement of a transaction, which is idle from now on.
+    pub fn rest(&mut self, now: Time, id: TransactionId) {
+        let Some(open) = self.open.get_mut(&id) else {
+            return;
+        };
+        if open.expiry.is_some() {
+            invariant::breach("transaction-rest", "no statement of the transaction runs");
+            return;
+        }
+        let expiry = now + self.limits.idle;
+        open.expiry = Some(expiry);
+        self.expiries.insert((expiry, id));
+    }
+
+    /// Closes a transaction after commit, rollback or the loss of its connection.
+    pub fn end(&mut self, id: TransactionId) -> bool {
+        let Some(open) = self.open.remove(&id) else {
+            return false;
+        };
+        if let Some(expiry) = open.expiry {
+            self.expiries.remove(&(expiry, id));
+        }
+        self.release(open.rank);
+        true
+    }
+
+    /// Closes the transactions that were idle for too long; the program rolls them back.
+    pub fn expire(&mut self, now: Time) -> SmallVec<[TransactionId; 4]> {
+        let mut expired = SmallVec::new();
+        while self.due().is_some_and(|due| due <= now) {
+            let Some((_, id)) = self.expiries.pop_first() else {
+                break;
+            };
+            self.end(id);
+            expired.push(id);
+        }
+        expired
+    }
+
+    /// Returns when `expire` next has something to close.
+    #[must_use]
+    pub fn due(&self) -> Option<Time> {
+        self.expiries.first().map(|(expiry, _)| *expiry)
+    }
+
+    /// Returns the number of connections that the open transactions of `rank` hold.
+    #[must_use]
+    pub const fn held(&self, rank: Rank) -> usize {
+        self.held[rank.index()]
+    }
+
+    fn release(&mut self, rank: Rank) {
+        let held = &mut self.held[rank.index()];
+        if *held == 0 {
+            invariant::breach("transaction-held", "a rank released more than it held");
+        }
+        *held = held.saturating_sub(1);
+    }
+}
