Add session tokens

Cause: read-your-writes needs the caller to carry its last confirmed write. Ruled out: one token for a whole session, because a write to a second instance would then drop the mark of the first one; JSON, because a cookie is short. Change: Sealer signs and verifies one token or a session of several tokens, joined by dots; errors tell malformed, forged and other service apart. Conclusion: a session keeps a mark for each instance it wrote to.

--- a/chervildrift_core/src/token/mod.rs
+++ b/chervildrift_core/src/token/mod.rs
@@ -1,1 +1,171 @@
-//! Session tokens that callers hold.
+//! Session tokens, which carry a caller's last confirmed write from VM to VM.
+//!
+//! A token is text in the URL-safe base64 alphabet, so it fits a header and a cookie as it is. A
+//! session that writes to several instances holds one token for each, joined by dots.
+
+mod error;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use hmac::{Hmac, KeyInit, Mac};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use smallvec::SmallVec;
+
+use crate::types::{GroupId, Instance, Mark, Position, Service, Term};
+
+pub use self::error::TokenError;
+
+/// Version of the token layout; the first byte of every token.
+const VERSION: u8 = 1;
+
+/// Length of the HMAC-SHA-256 tag, in bytes.
+const TAG_BYTES: usize = 32;
+
+/// Longest accepted text of a session, in bytes; browsers drop cookies above 4,096 bytes.
+const TEXT_BYTES: usize = 3_800;
+
+/// Separator between the tokens of one session.
+const SEPARATOR: char = '.';
+
+/// Tokens of one session, at most one for each instance.
+pub type Tokens = SmallVec<[Token; 2]>;
+
+/// A confirmed write of a session.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Token {
+    /// Database group the write went to.
+    pub group: GroupId,
+    /// Mark that a read of the session must cover.
+    pub mark: Mark,
+}
+
+/// Signs and verifies tokens with the fleet's key.
+#[derive(Clone)]
+pub struct Sealer {
+    mac: Hmac<Sha256>,
+}
+
+impl std::fmt::Debug for Sealer {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Sealer").finish_non_exhaustive()
+    }
+}
+
+impl Sealer {
+    /// Opens a sealer with a key from the settings.
+    pub fn open(key: &[u8]) -> Result<Self, TokenError> {
+        if key.is_empty() {
+            return Err(TokenError::Key);
+        }
+        let mac = Hmac::new_from_slice(key).map_err(|_length| TokenError::Key)?;
+        Ok(Self { mac })
+    }
+
+    /// Returns the text form of a token.
+    #[must_use]
+    pub fn seal(&self, token: &Token) -> String {
+        let mut bytes = encode(token);
+        let tag = self.sign(&bytes).finalize().into_bytes();
+        bytes.extend_from_slice(&tag);
+        URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// Returns the text form of a session's tokens.
+    #[must_use]
+    pub fn seal_session(&self, tokens: &[Token]) -> String {
+        let texts: Vec<_> = tokens.iter().map(|token| self.seal(token)).collect();
+        texts.join(".")
+    }
+
+    /// Verifies one token of `service`.
+    pub fn verify(&self, text: &str, service: &Service) -> Result<Token, TokenError> {
+        let bytes = decode_text(text)?;
+        let split = bytes.len().checked_sub(TAG_BYTES);
+        let (body, tag) = bytes.split_at(split.ok_or(TokenError::Malformed)?);
+        // The comparison takes the same time for every wrong tag.
+        self.sign(body)
+            .verify_slice(tag)
+            .map_err(|_mismatch| TokenError::Forged)?;
+        let token = decode(body).ok_or(TokenError::Malformed)?;
+        if token.group.service != *service {
+            return Err(TokenError::OtherService);
+        }
+        Ok(token)
+    }
+
+    /// Verifies all tokens of a session of `service`.
+    pub fn verify_session(&self, text: &str, service: &Service) -> Result<Tokens, TokenError> {
+        if text.len() > TEXT_BYTES {
+            return Err(TokenError::Malformed);
+        }
+        text.split(SEPARATOR)
+            .map(|part| self.verify(part, service))
+            .collect()
+    }
+
+    fn sign(&self, body: &[u8]) -> Hmac<Sha256> {
+        let mut mac = self.mac.clone();
+        mac.update(body);
+        mac
+    }
+}
+
+/// Raises the mark that `tokens` hold for the group of `token`, or adds the token.
+pub fn merge(tokens: &mut Tokens, token: Token) {
+    match tokens.iter_mut().find(|held| held.group == token.group) {
+        Some(held) => held.mark = held.mark.max(token.mark),
+        None => tokens.push(token),
+    }
+}
+
+/// Returns the mark that `tokens` hold for `group`.
+#[must_use]
+pub fn mark_of(tokens: &[Token], group: &GroupId) -> Option<Mark> {
+    let token = tokens.iter().find(|held| held.group == *group)?;
+    Some(token.mark)
+}
+
+fn decode_text(text: &str) -> Result<Vec<u8>, TokenError> {
+    if text.len() > TEXT_BYTES {
+        return Err(TokenError::Malformed);
+    }
+    URL_SAFE_NO_PAD
+        .decode(text)
+        .map_err(|_alphabet| TokenError::Malformed)
+}
+
+fn encode(token: &Token) -> Vec<u8> {
+    let mut bytes = vec![VERSION];
+    bytes.extend_from_slice(&token.mark.term.0.to_be_bytes());
+    bytes.extend_from_slice(&token.mark.position.0.to_be_bytes());
+    let service = token.group.service.as_str();
+    // The length keeps two names from being read with a shifted border between them.
+    bytes.extend_from_slice(&(service.len() as u32).to_be_bytes());
+    bytes.extend_from_slice(service.as_bytes());
+    bytes.extend_from_slice(token.group.instance.as_str().as_bytes());
+    bytes
+}
+
+fn decode(body: &[u8]) -> Option<Token> {
+    let (&version, rest) = body.split_first()?;
+    if version != VERSION {
+        return None;
+    }
+    let (term, rest) = rest.split_first_chunk::<8>()?;
+    let (position, rest) = rest.split_first_chunk::<8>()?;
+    let (length, rest) = rest.split_first_chunk::<4>()?;
+    let length = u32::from_be_bytes(*length) as usize;
+    let service = std::str::from_utf8(rest.get(..length)?).ok()?;
+    let instance = std::str::from_utf8(rest.get(length..)?).ok()?;
+    Some(Token {
+        group: GroupId {
+            service: Service::from(service),
+            instance: Instance::from(instance),
+        },
+        mark: Mark {
+            term: Term(u64::from_be_bytes(*term)),
+            position: Position(u64::from_be_bytes(*position)),
+        },
+    })
+}
