Add the observed state of a database group

Cause: acknowledgement, read choice and failover need one view of a group that rests on status reads only. Change: GroupView with term, primary, confirmed mark, check of a write, ages with a fine and a coarse history, and the token rule. A read of the primary counts towards an age only up to the time a majority was not fenced later. Conclusion: status reads count from their send time everywhere.

--- a/chervildrift_core/src/group/mod.rs
+++ b/chervildrift_core/src/group/mod.rs
@@ -1,1 +1,246 @@
 //! Observed state of one database group.
+//!
+//! A [`GroupView`] knows only what status reads told it. Each read counts from the time it was
+//! sent: an answer that waited in a frozen process proves nothing about the time after sending.
+
+mod age;
+mod seen;
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use self::age::History;
+use crate::invariant;
+use crate::types::{Mark, Position, Role, Status, Term, Time, Upstream};
+
+pub use self::seen::Seen;
+
+/// Upstreams of a group that fit without allocation.
+const GROUP_SIZE: usize = 3;
+
+/// What a view can say about a write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Confirmation {
+    /// A majority of the group has received the write.
+    Confirmed,
+    /// No majority was seen with the write so far.
+    Waiting,
+    /// A later term has started; the write can't be confirmed any more and is unknown.
+    Replaced,
+}
+
+/// Observed state of one database group.
+#[derive(Clone, Debug)]
+pub struct GroupView {
+    upstreams: SmallVec<[Upstream; GROUP_SIZE]>,
+    seen: SmallVec<[Seen; GROUP_SIZE]>,
+    term: Term,
+    confirmed: Option<Mark>,
+    history: History,
+}
+
+impl GroupView {
+    /// Opens a view of a group nothing is known about.
+    #[must_use]
+    pub fn open(upstreams: &[Upstream]) -> Self {
+        Self {
+            upstreams: upstreams.iter().cloned().collect(),
+            seen: upstreams.iter().map(|_name| Seen::default()).collect(),
+            term: Term::default(),
+            confirmed: None,
+            history: History::default(),
+        }
+    }
+
+    /// Takes the result of a status read of one upstream; `None` stands for a failed read.
+    pub fn observe(&mut self, sent: Time, now: Time, index: usize, status: Option<&Status>) {
+        let Some(seen) = self.seen.get_mut(index) else {
+            return;
+        };
+        let Some(status) = status else {
+            seen.fail(sent);
+            return;
+        };
+        if seen.take(sent, now, status) {
+            self.learn_term(status.received.term);
+            self.learn_confirmed();
+            self.learn_age(sent, index);
+        }
+    }
+
+    /// Returns the number of upstreams.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.seen.len()
+    }
+
+    /// Tells whether the group has no upstream.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty()
+    }
+
+    /// Returns the number of upstreams that make a majority of the group.
+    #[must_use]
+    pub fn majority(&self) -> usize {
+        self.seen.len() / 2 + 1
+    }
+
+    /// Returns the names of the upstreams.
+    #[must_use]
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    /// Returns what is known of one upstream.
+    #[must_use]
+    pub fn seen(&self, index: usize) -> Option<&Seen> {
+        self.seen.get(index)
+    }
+
+    /// Returns the last status of one upstream.
+    #[must_use]
+    pub fn status(&self, index: usize) -> Option<&Status> {
+        self.seen.get(index)?.status()
+    }
+
+    /// Returns the greatest term seen in any log.
+    #[must_use]
+    pub const fn term(&self) -> Term {
+        self.term
+    }
+
+    /// Returns the greatest term seen in any log or fence.
+    #[must_use]
+    pub fn highest(&self) -> Term {
+        let fenced = self.seen.iter().filter_map(Seen::status);
+        let fenced = fenced.map(|status| status.fenced).max();
+        self.term.max(fenced.unwrap_or_default())
+    }
+
+    /// Returns the primary of the current term, if it was seen and a majority may still serve it.
+    #[must_use]
+    pub fn primary(&self) -> Option<usize> {
+        let mut found = None;
+        for (index, seen) in self.seen.iter().enumerate() {
+            if !seen.leads(self.term) {
+                continue;
+            }
+            if found.is_some() {
+                invariant::breach("one-primary-per-term", &format!("term {}", self.term));
+                return None;
+            }
+            found = Some(index);
+        }
+        found.filter(|_index| !self.fenced_off())
+    }
+
+    /// Returns the greatest mark of the current term that a majority was seen to have received.
+    #[must_use]
+    pub const fn confirmed(&self) -> Option<Mark> {
+        self.confirmed
+    }
+
+    /// Tells whether a write whose answer came at `since` is confirmed.
+    ///
+    /// Only status reads sent at or after `since` count, so that a process that was frozen reads
+    /// the terms again before it acknowledges.
+    #[must_use]
+    pub fn check(&self, mark: Mark, since: Time) -> Confirmation {
+        if mark.term < self.term {
+            return Confirmation::Replaced;
+        }
+        let holders = self.seen.iter().filter(|seen| {
+            let fresh = seen.answered().is_some_and(|sent| sent >= since);
+            fresh && seen.status().is_some_and(|status| holds(status, mark))
+        });
+        if holders.count() >= self.majority() {
+            Confirmation::Confirmed
+        } else {
+            Confirmation::Waiting
+        }
+    }
+
+    /// Returns an upper bound of the age of the data that reads at an upstream can see.
+    #[must_use]
+    pub fn age(&self, now: Time, index: usize) -> Option<Duration> {
+        let applied = self.status(index)?.applied;
+        let current = self.history.current(applied)?;
+        Some(now.since(current))
+    }
+
+    /// Tells whether an upstream with this status may serve a session whose last write is `token`.
+    #[must_use]
+    pub fn may_serve(status: &Status, token: Option<Mark>) -> bool {
+        token.is_none_or(|mark| status.applied.covers(mark))
+    }
+
+    /// Returns the send time of the last answer of the current primary.
+    #[must_use]
+    pub fn primary_answered(&self) -> Option<Time> {
+        self.seen.get(self.primary()?)?.answered()
+    }
+
+    fn fenced_off(&self) -> bool {
+        let later = self.seen.iter().filter_map(Seen::status);
+        let later = later.filter(|status| status.fenced > self.term);
+        later.count() >= self.majority()
+    }
+
+    fn learn_term(&mut self, term: Term) {
+        if term > self.term {
+            self.term = term;
+            self.confirmed = None;
+            self.history.change_term();
+        }
+    }
+
+    fn learn_confirmed(&mut self) {
+        let mut positions: SmallVec<[Position; GROUP_SIZE]> = self
+            .seen
+            .iter()
+            .filter_map(|seen| seen.reached(self.term))
+            .collect();
+        positions.sort_unstable_by(|a, b| b.cmp(a));
+        if let Some(&position) = positions.get(self.majority() - 1) {
+            let mark = Mark {
+                term: self.term,
+                position,
+            };
+            self.confirmed = self.confirmed.max(Some(mark));
+        }
+    }
+
+    /// Counts a status read of the primary towards the ages.
+    ///
+    /// A replaced primary that can still be read proves nothing about the age of its data. So a
+    /// read counts only up to the time at which a majority was not yet fenced at a later term.
+    fn learn_age(&mut self, sent: Time, index: usize) {
+        let mut sents: SmallVec<[Time; GROUP_SIZE]> = self
+            .seen
+            .iter()
+            .filter(|seen| seen.status().is_some_and(|s| s.fenced == self.term))
+            .filter_map(Seen::answered)
+            .collect();
+        sents.sort_unstable_by(|a, b| b.cmp(a));
+        if let Some(&majority) = sents.get(self.majority() - 1) {
+            self.history.verify(majority);
+        }
+        if self.seen[index].leads(self.term)
+            && let Some(status) = self.seen[index].status()
+        {
+            self.history.record(sent, status.received);
+        }
+    }
+}
+
+/// Tells whether a log with this status holds the write `mark` of the same term.
+fn holds(status: &Status, mark: Mark) -> bool {
+    status.received.term == mark.term && status.received.position >= mark.position
+}
+
+/// Tells whether a status is that of the primary of `term`.
+fn leads(status: &Status, term: Term) -> bool {
+    status.role == Role::Primary && status.fenced == term && status.received.term == term
+}
