Add the choice of route and the typed state of a request

Ruled out: a flag "sent" on a request, because a later try that is refused says nothing about an earlier one that was lost; reads at a replica for kinds that declare no age, because a session token would then give older data than none. Change: choose() for reads and writes on a GroupCache, Attempt<NotSent> and Attempt<MaybeSent> with proofs for each way back, on_failure(). The number of tries whose fate is open is part of MaybeSent. Conclusion: NotRun can't be built outside the module without a proof.

--- /dev/null
+++ b/chervildrift_core/src/route/attempt.rs
@@ -0,0 +1,212 @@
+//! State of a request: whether any part of it may have reached an upstream.
+//!
+//! The state is part of the type, so that an answer "not run" can only be built from a request
+//! that no VM has sent, from a dispatcher's refusal, or from a confirmed cancel record.
+
+use crate::group::{Confirmation, GroupView};
+use crate::types::{Mark, Time, Vm};
+
+use super::answer::{Answer, Cause, Done, NotRun, Unknown};
+use super::failure::Sent;
+use super::{Ranked, successor};
+
+/// Whether a request may be sent again after it may have run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Repeat {
+    /// A read, which changes nothing.
+    Read,
+    /// A write with an idempotency key; a repeat finds the key's record.
+    Keyed,
+    /// A write without a key; it is sent once at most.
+    Once,
+}
+
+/// No statement of the request has left a VM for an upstream.
+#[derive(Debug)]
+pub struct NotSent(());
+
+/// A statement of the request may have left a VM for an upstream.
+#[derive(Debug)]
+pub struct MaybeSent {
+    /// Tries whose fate is open, at least 1.
+    open: u32,
+}
+
+/// Proof that a try ended before its first byte was written.
+#[derive(Debug)]
+pub struct Unsent(());
+
+impl Unsent {
+    /// Builds the proof from the number of bytes that the link has taken for the try.
+    #[must_use]
+    pub fn prove(written: usize) -> Option<Self> {
+        (written == 0).then_some(Self(()))
+    }
+}
+
+/// Proof that a dispatcher answered "not run" to the try itself.
+#[derive(Debug)]
+pub struct Refused(());
+
+impl Refused {
+    /// Builds the proof from the identifiers of the try and of the try the dispatcher answered.
+    ///
+    /// A late refusal of an earlier try proves nothing about a later one.
+    #[must_use]
+    pub fn prove(sent: u64, answered: u64) -> Option<Self> {
+        (sent == answered).then_some(Self(()))
+    }
+}
+
+/// Proof that the cancel record of a request's key is confirmed.
+#[derive(Debug)]
+pub struct Cancelled(());
+
+impl Cancelled {
+    /// Builds the proof for a cancel record at `mark`, which the upstream answered at `since`.
+    #[must_use]
+    pub fn prove(view: &GroupView, mark: Mark, since: Time) -> Option<Self> {
+        let confirmed = view.check(mark, since) == Confirmation::Confirmed;
+        confirmed.then_some(Self(()))
+    }
+}
+
+/// A request on its way through this VM.
+#[derive(Debug)]
+pub struct Attempt<S> {
+    repeat: Repeat,
+    deadline: Time,
+    tried: Ranked,
+    state: S,
+}
+
+impl Attempt<NotSent> {
+    /// Opens the state of a request that has just been accepted.
+    #[must_use]
+    pub fn open(repeat: Repeat, deadline: Time) -> Self {
+        Self {
+            repeat,
+            deadline,
+            tried: Ranked::new(),
+            state: NotSent(()),
+        }
+    }
+
+    /// Notes that the request is about to be written to a dispatcher or an upstream.
+    #[must_use]
+    pub fn send(mut self, to: &Vm) -> Attempt<MaybeSent> {
+        self.note(to);
+        self.turn(MaybeSent { open: 1 })
+    }
+
+    /// Ends the request: it did not run.
+    #[must_use]
+    pub fn not_run(self, cause: Cause) -> NotRun {
+        NotRun::new(cause)
+    }
+}
+
+impl Attempt<MaybeSent> {
+    /// Takes the proof that the last try never left.
+    ///
+    /// The request goes back to [`NotSent`] only if no earlier try may have left.
+    pub fn unsent(self, _proof: Unsent) -> Result<Attempt<NotSent>, Self> {
+        self.take_back()
+    }
+
+    /// Takes the proof that the dispatcher refused the last try.
+    pub fn refused(self, _proof: Refused) -> Result<Attempt<NotSent>, Self> {
+        self.take_back()
+    }
+
+    /// Ends the request: its cancel record is confirmed, so it can never run.
+    #[must_use]
+    pub fn cancelled(self, _proof: Cancelled) -> NotRun {
+        NotRun::new(Cause::Cancelled)
+    }
+
+    /// Ends a write: its last status read showed `mark`, answered at `since`.
+    pub fn confirm(self, view: &GroupView, mark: Mark, since: Time) -> Result<Done, Sent> {
+        match view.check(mark, since) {
+            Confirmation::Confirmed => Ok(Done::new(mark)),
+            Confirmation::Waiting => Err(Sent::Waiting(self)),
+            Confirmation::Replaced => Err(Sent::Unknown(self.unknown())),
+        }
+    }
+
+    /// Sends the request again, if it may be repeated.
+    pub fn again(mut self, to: &Vm) -> Result<Self, Unknown> {
+        if self.repeat == Repeat::Once {
+            return Err(self.unknown());
+        }
+        self.note(to);
+        self.state.open += 1;
+        Ok(self)
+    }
+
+    /// Ends the request: whether it ran is not known.
+    #[must_use]
+    pub fn unknown(self) -> Unknown {
+        Unknown::new(self.repeat)
+    }
+
+    fn take_back(mut self) -> Result<Attempt<NotSent>, Self> {
+        self.state.open -= 1;
+        if self.state.open == 0 {
+            Ok(self.turn(NotSent(())))
+        } else {
+            Err(self)
+        }
+    }
+}
+
+impl<S> Attempt<S> {
+    /// Returns whether the request may be repeated.
+    #[must_use]
+    pub const fn repeat(&self) -> Repeat {
+        self.repeat
+    }
+
+    /// Returns the VMs that the request was sent to.
+    #[must_use]
+    pub fn tried(&self) -> &[Vm] {
+        &self.tried
+    }
+
+    /// Returns the dispatcher to send to next.
+    #[must_use]
+    pub fn next<'a>(&self, ranked: &'a [Vm]) -> Option<&'a Vm> {
+        successor(ranked, &self.tried)
+    }
+
+    /// Tells whether the deadline has passed.
+    #[must_use]
+    pub fn is_late(&self, now: Time) -> bool {
+        now >= self.deadline
+    }
+
+    fn note(&mut self, to: &Vm) {
+        self.tried.push(to.clone());
+    }
+
+    fn turn<T>(self, state: T) -> Attempt<T> {
+        Attempt {
+            repeat: self.repeat,
+            deadline: self.deadline,
+            tried: self.tried,
+            state,
+        }
+    }
+}
+
+impl From<NotRun> for Answer {
+    fn from(answer: NotRun) -> Self {
+        Self::NotRun(answer)
+    }
+}
+
+impl From<Unknown> for Answer {
+    fn from(answer: Unknown) -> Self {
+        Self::Unknown(answer)
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/route/cache.rs
@@ -0,0 +1,74 @@
+//! Group state as an entry knows it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
+
+use crate::types::{Mark, Rank, Term, Time, Zone};
+
+use super::STALE_AFTER;
+
+/// State of one database group, as the reply of a dispatcher told it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct GroupCache {
+    /// Time at which the request was sent whose reply told this state.
+    pub learnt: Option<Time>,
+    /// Current term.
+    pub term: Term,
+    /// Current primary.
+    pub primary: Option<usize>,
+    /// State of each upstream.
+    pub upstreams: SmallVec<[UpstreamState; 3]>,
+}
+
+/// State of one upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UpstreamState {
+    /// Availability zone of the upstream.
+    pub zone: Zone,
+    /// Last entry that reads can see.
+    pub applied: Mark,
+    /// Data age; `None` if it is unknown.
+    pub age: Option<Duration>,
+    /// Expected time in the queue, by rank.
+    pub queues: [Duration; Rank::COUNT],
+    /// Round-trip time from the entry.
+    pub distance: Duration,
+    /// Whether the upstream takes new work: it is reached and not leaving.
+    pub open: bool,
+}
+
+impl GroupCache {
+    /// Takes the state that a reply carried, unless a newer one is known.
+    pub fn learn(&mut self, told: Self) {
+        let newer = told.learnt > self.learnt;
+        if told.term > self.term || (told.term == self.term && newer) {
+            *self = told;
+        }
+    }
+
+    /// Forgets a primary that refused a write for its term, until a reply names another one.
+    pub fn forget_primary(&mut self, term: Term) {
+        if term == self.term {
+            self.primary = None;
+        }
+    }
+
+    pub(super) fn is_stale(&self, now: Time) -> bool {
+        self.learnt
+            .is_none_or(|learnt| now.since(learnt) > STALE_AFTER)
+    }
+
+    /// Returns the time since the state was learnt.
+    pub(super) fn elapsed(&self, now: Time) -> Duration {
+        self.learnt
+            .map_or(Duration::MAX, |learnt| now.since(learnt))
+    }
+
+    /// Returns the data age of an upstream at `now`, which grows from the time of learning.
+    pub(super) fn age(&self, now: Time, index: usize) -> Option<Duration> {
+        let age = self.upstreams.get(index)?.age?;
+        Some(age.saturating_add(self.elapsed(now)))
+    }
+}
--- a/chervildrift_core/src/route/mod.rs
+++ b/chervildrift_core/src/route/mod.rs
@@ -1,1 +1,117 @@
-//! Choice of an upstream and a dispatcher for a request.
+//! Choice of upstream and dispatcher for a request, and what to do when a try fails.
+//!
+//! An entry routes by a [`GroupCache`], which it learns from dispatchers' replies. The cache only
+//! makes a route likely to work: the dispatcher checks role, term and token again on the connection
+//! that runs the statements.
+
+mod answer;
+mod attempt;
+mod cache;
+mod failure;
+mod read;
+
+use std::time::Duration;
+
+use smallvec::SmallVec;
+
+use crate::types::{Mark, Rank, Time, Vm, Zone};
+
+pub use self::answer::{Answer, Cause, Done, NotRun, Unknown};
+pub use self::attempt::{Attempt, Cancelled, MaybeSent, NotSent, Refused, Repeat, Unsent};
+pub use self::cache::{GroupCache, UpstreamState};
+pub use self::failure::{Failure, Next, Sent, on_failure};
+
+/// Group state older than this is asked for again before a request is routed by it.
+pub const STALE_AFTER: Duration = Duration::from_secs(5);
+
+/// Longest time a read waits at a replica for its session's last write.
+pub const WAIT_LIMIT: Duration = Duration::from_millis(50);
+
+/// Live VMs that may dispatch for one upstream, in rendezvous order.
+pub type Ranked = SmallVec<[Vm; 4]>;
+
+/// What a request needs from its upstream.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Whether the request changes data.
+    pub write: bool,
+    /// Rank of the request's kind.
+    pub rank: Rank,
+    /// Last confirmed write of the session in this group.
+    pub token: Option<Mark>,
+    /// Greatest data age that the kind or the caller accepts; `None` asks for the primary.
+    pub max_age: Option<Duration>,
+    /// Time at which the request's answer is of no use any more.
+    pub deadline: Time,
+    /// Availability zone of the entry.
+    pub zone: &'a Zone,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Route {
+    /// Forward it along this path.
+    Forward(Path),
+    /// Ask a dispatcher for the group state first.
+    Ask,
+    /// Hold it until a primary is known or its deadline passes.
+    Hold,
+    /// Refuse it: no upstream can serve the read within its bounds.
+    Refuse(Cause),
+}
+
+/// Path of a request to an upstream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Path {
+    /// Upstream of the group.
+    pub upstream: usize,
+    /// Dispatcher of the upstream, followed by its successors.
+    pub dispatchers: Ranked,
+    /// Time the read may wait at the upstream for the session's last write.
+    pub wait: Duration,
+    /// Upstream that takes the read when the wait was in vain.
+    pub fallback: Option<usize>,
+}
+
+/// Chooses where a request goes; `ranked` holds the dispatchers of each upstream.
+#[must_use]
+pub fn choose(now: Time, request: &Request<'_>, cache: &GroupCache, ranked: &[Ranked]) -> Route {
+    if cache.is_stale(now) {
+        return Route::Ask;
+    }
+    if request.write || request.max_age.is_none() {
+        return to_primary(cache, ranked);
+    }
+    match read::choose(now, request, cache) {
+        Some(choice) => choice.into_route(ranked),
+        // A primary that is about to be known may still serve the read.
+        None if cache.primary.is_none() => Route::Hold,
+        None => Route::Refuse(Cause::TooOld),
+    }
+}
+
+/// Returns the first dispatcher of `ranked` that was not tried, or the first one again.
+#[must_use]
+pub fn successor<'a>(ranked: &'a [Vm], tried: &[Vm]) -> Option<&'a Vm> {
+    let fresh = ranked.iter().find(|vm| !tried.contains(vm));
+    fresh.or_else(|| ranked.first())
+}
+
+fn to_primary(cache: &GroupCache, ranked: &[Ranked]) -> Route {
+    let Some(upstream) = cache.primary else {
+        return Route::Hold;
+    };
+    forward(upstream, Duration::ZERO, None, ranked)
+}
+
+fn forward(upstream: usize, wait: Duration, fallback: Option<usize>, ranked: &[Ranked]) -> Route {
+    match ranked.get(upstream) {
+        Some(dispatchers) if !dispatchers.is_empty() => Route::Forward(Path {
+            upstream,
+            dispatchers: dispatchers.clone(),
+            wait,
+            fallback,
+        }),
+        _ => Route::Hold,
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/route/read.rs
@@ -0,0 +1,113 @@
+//! Choice of upstream for a read.
+
+use std::time::Duration;
+
+use crate::types::{Mark, Time};
+
+use super::{GroupCache, Ranked, Request, Route, WAIT_LIMIT, forward};
+
+/// Chosen upstream of a read.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Choice {
+    upstream: usize,
+    wait: Duration,
+    fallback: Option<usize>,
+    cost: Duration,
+}
+
+impl Choice {
+    pub(super) fn into_route(self, ranked: &[Ranked]) -> Route {
+        forward(self.upstream, self.wait, self.fallback, ranked)
+    }
+}
+
+/// Chooses the upstream that is expected to answer first.
+///
+/// A replica that covers the token is preferred to the primary, which keeps its slots for writes.
+pub(super) fn choose(now: Time, request: &Request<'_>, cache: &GroupCache) -> Option<Choice> {
+    let replicas = || {
+        (0..cache.upstreams.len())
+            .filter(|&index| Some(index) != cache.primary)
+            .filter_map(|index| replica(now, request, cache, index))
+    };
+    let ready = replicas().filter(|choice| choice.wait.is_zero());
+    if let Some(choice) = ready.min_by_key(|choice| choice.cost)
+        && in_time(now, request, &choice)
+    {
+        return Some(choice);
+    }
+    // The primary needs no wait, so it is compared with replicas that do.
+    replicas()
+        .chain(primary(request, cache))
+        .min_by_key(|choice| choice.cost)
+}
+
+fn in_time(now: Time, request: &Request<'_>, choice: &Choice) -> bool {
+    now + choice.cost < request.deadline
+}
+
+fn primary(request: &Request<'_>, cache: &GroupCache) -> Option<Choice> {
+    let upstream = cache.primary?;
+    cost(request, cache, upstream).map(|cost| Choice {
+        upstream,
+        wait: Duration::ZERO,
+        fallback: None,
+        cost,
+    })
+}
+
+fn replica(now: Time, request: &Request<'_>, cache: &GroupCache, index: usize) -> Option<Choice> {
+    let fresh = cache.age(now, index)? <= request.max_age?;
+    let wait = request
+        .token
+        .map_or(Duration::ZERO, |token| wait(now, cache, index, token));
+    let cost = cost(request, cache, index)?;
+    (fresh && wait <= WAIT_LIMIT).then(|| Choice {
+        upstream: index,
+        wait: allowed(wait),
+        fallback: cache.primary.filter(|_index| request.token.is_some()),
+        cost: cost + wait,
+    })
+}
+
+/// Returns the time a read may wait when `expected` is expected.
+fn allowed(expected: Duration) -> Duration {
+    // Twice the expected wait covers an uneven lag; past it the primary is the better bet.
+    (expected * 2).min(WAIT_LIMIT)
+}
+
+fn cost(request: &Request<'_>, cache: &GroupCache, index: usize) -> Option<Duration> {
+    let state = cache.upstreams.get(index)?;
+    let queue = state.queues[request.rank.index()];
+    // Two upstreams at one distance: the one in the entry's availability zone saves the link.
+    let near = u64::from(state.zone != *request.zone);
+    let cost = queue + state.distance + Duration::from_micros(near);
+    state.open.then_some(cost)
+}
+
+/// Returns the expected time until an upstream covers `token`.
+///
+/// The positions between the upstream and the primary are taken as spread evenly over the
+/// upstream's data age.
+fn wait(now: Time, cache: &GroupCache, index: usize, token: Mark) -> Duration {
+    let Some(state) = cache.upstreams.get(index) else {
+        return Duration::MAX;
+    };
+    if state.applied.covers(token) {
+        return Duration::ZERO;
+    }
+    let (Some(age), true) = (state.age, token.term <= cache.term) else {
+        return Duration::MAX;
+    };
+    let head = cache
+        .primary
+        .and_then(|primary| cache.upstreams.get(primary));
+    let head = head.map_or(token.position.0, |head| head.applied.position.0);
+    let behind = head.saturating_sub(state.applied.position.0);
+    let missing = token.position.0.saturating_sub(state.applied.position.0);
+    let share = missing.min(behind) as f64 / behind.max(1) as f64;
+    // A token above the known head was written after the state was learnt.
+    let full = missing > behind;
+    let total = if full { age } else { age.mul_f64(share) };
+    total.saturating_sub(cache.elapsed(now))
+}
--- /dev/null
+++ b/chervildrift_core/tests/route.rs
@@ -0,0 +1,219 @@
+//! Choice of upstream and handling of failed tries.
+
+use std::time::Duration;
+
+use chervildrift_core::group::GroupView;
+use chervildrift_core::route::{
+    Answer, Attempt, Cancelled, Cause, Done, Failure, GroupCache, Next, Path, Ranked, Refused,
+    Repeat, Request, Route, Unsent, UpstreamState, choose, on_failure,
+};
+use chervildrift_core::types::{Mark, Rank, Role, Status, Term, Time, Vm, Zone};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn cache(lag: u64, queue: Duration) -> GroupCache {
+    let upstream = |index: u64| UpstreamState {
+        zone: Zone::from(format!("z{index}")),
+        applied: Mark::new(3, 1_000 - index.min(1) * lag),
+        age: Some(MS * (lag as u32) * (index.min(1) as u32)),
+        queues: [queue; Rank::COUNT],
+        distance: MS,
+        open: true,
+    };
+    GroupCache {
+        learnt: Some(Time(0)),
+        term: Term(3),
+        primary: Some(0),
+        upstreams: (0..3).map(upstream).collect(),
+    }
+}
+
+fn ranked() -> Vec<Ranked> {
+    let vms = |index: usize| (0..3).map(move |vm| Vm::from(format!("vm-{}", (index + vm) % 3)));
+    (0..3).map(|index| vms(index).collect()).collect()
+}
+
+fn path(route: Route) -> Path {
+    match route {
+        Route::Forward(path) => path,
+        other => panic!("{other:?}"),
+    }
+}
+
+struct Read {
+    token: Option<Mark>,
+    max_age: Option<Duration>,
+}
+
+impl Read {
+    fn route(&self, now: Time, cache: &GroupCache) -> Route {
+        let request = Request {
+            write: false,
+            rank: Rank::Bulk,
+            token: self.token,
+            max_age: self.max_age,
+            deadline: now + Duration::from_secs(1),
+            zone: &Zone::from("z2"),
+        };
+        choose(now, &request, cache, &ranked())
+    }
+}
+
+/// Guards against reads that fill the primary while a replica could serve them.
+#[test]
+fn replica_first() {
+    let read = Read {
+        token: Some(Mark::new(3, 700)),
+        max_age: Some(Duration::from_secs(10)),
+    };
+    let path = path(read.route(Time(1_000), &cache(200, Duration::ZERO)));
+    assert_eq!(path.upstream, 2);
+    assert_eq!(path.dispatchers[0], Vm::from("vm-2"));
+}
+
+/// Guards against a read that waits long at a replica while the primary is free, and the reverse.
+#[test]
+fn wait_or_primary() {
+    let read = Read {
+        token: Some(Mark::new(3, 1_000)),
+        max_age: Some(Duration::from_secs(10)),
+    };
+    let free = path(read.route(Time(1_000), &cache(200, Duration::ZERO)));
+    assert_eq!(free.upstream, 0);
+    let mut busy = cache(20, Duration::ZERO);
+    busy.upstreams[0].queues = [MS * 300; Rank::COUNT];
+    let waits = path(read.route(Time(1_000), &busy));
+    assert_eq!(waits.upstream, 2);
+    assert!(waits.wait > MS * 10);
+    assert_eq!(waits.fallback, Some(0));
+}
+
+/// Guards against an answer older than the kind allows.
+#[test]
+fn age_bound() {
+    let read = |age| Read {
+        token: None,
+        max_age: age,
+    };
+    let mut cache = cache(200, Duration::ZERO);
+    let old = read(Some(MS * 100)).route(Time(1_000), &cache);
+    assert_eq!(path(old).upstream, 0);
+    let grown = read(Some(MS * 300)).route(Time(200_000), &cache);
+    assert_eq!(path(grown).upstream, 0);
+    let undeclared = read(None).route(Time(1_000), &cache);
+    assert_eq!(path(undeclared).upstream, 0);
+    cache.upstreams[0].open = false;
+    let refused = read(Some(MS * 100)).route(Time(1_000), &cache);
+    assert_eq!(refused, Route::Refuse(Cause::TooOld));
+}
+
+/// Guards against requests that are routed by a state that is missing or long out of date.
+#[test]
+fn stale_state() {
+    let read = Read {
+        token: None,
+        max_age: Some(Duration::from_secs(60)),
+    };
+    assert_eq!(read.route(Time(0), &GroupCache::default()), Route::Ask);
+    let late = Time(0) + Duration::from_secs(6);
+    assert_eq!(read.route(late, &cache(200, Duration::ZERO)), Route::Ask);
+}
+
+/// Guards against a reply of a lower term that brings back a replaced primary.
+#[test]
+fn older_reply() {
+    let mut known = cache(0, Duration::ZERO);
+    let mut older = cache(0, Duration::ZERO);
+    older.learnt = Some(Time(9_000));
+    older.term = Term(2);
+    older.primary = Some(1);
+    known.learn(older);
+    assert_eq!(known.primary, Some(0));
+    known.forget_primary(Term(2));
+    assert_eq!(known.primary, Some(0));
+    known.forget_primary(Term(3));
+    assert_eq!(known.primary, None);
+}
+
+fn attempt(repeat: Repeat) -> Attempt<chervildrift_core::route::MaybeSent> {
+    Attempt::open(repeat, Time(1_000_000)).send(&"vm-1".into())
+}
+
+fn lost(attempt: Attempt<chervildrift_core::route::MaybeSent>, budget: bool) -> Next {
+    on_failure(Time(10), attempt, Failure::Lost, budget)
+}
+
+/// Guards against a write without a key that is sent a second time after it may have run.
+#[test]
+fn sent_once() {
+    let next = lost(attempt(Repeat::Once), true);
+    let Next::Answer(Answer::Unknown(unknown)) = next else {
+        panic!("{next:?}");
+    };
+    assert!(!unknown.can_ask());
+    attempt(Repeat::Once).again(&"vm-2".into()).unwrap_err();
+}
+
+/// Guards against "not run" for a request of which an earlier try may have run.
+#[test]
+fn earlier_try() {
+    let Next::Repeat(first) = lost(attempt(Repeat::Keyed), true) else {
+        panic!("a keyed write is repeated");
+    };
+    let vm = Vm::from("vm-2");
+    assert_eq!(first.next(&ranked()[1]), Some(&vm));
+    let second = first.again(&vm).expect("keyed");
+    let proof = Refused::prove(8, 8).expect("same try");
+    let failure = Failure::Refused(proof, Cause::Overloaded);
+    let next = on_failure(Time(10), second, failure, false);
+    let Next::Answer(Answer::Unknown(unknown)) = next else {
+        panic!("{next:?}");
+    };
+    assert!(unknown.can_ask());
+}
+
+/// Guards against an "unknown" for a request that certainly did not run.
+#[test]
+fn proven_refusal() {
+    assert!(Unsent::prove(1).is_none());
+    assert!(Refused::prove(7, 8).is_none());
+    let unsent = Failure::Unsent(Unsent::prove(0).expect("no byte"));
+    let Next::Retry(again) = on_failure(Time(10), attempt(Repeat::Once), unsent, true) else {
+        panic!("a try that never left is retried");
+    };
+    let proof = Refused::prove(8, 8).expect("same try");
+    let refused = Failure::Refused(proof, Cause::Overloaded);
+    let next = on_failure(Time(10), again.send(&"vm-2".into()), refused, true);
+    let Next::Answer(Answer::NotRun(not_run)) = next else {
+        panic!("{next:?}");
+    };
+    assert_eq!(not_run.cause(), Cause::Overloaded);
+}
+
+/// Guards against "not run" by a cancel record, and against a success, that no majority has.
+#[test]
+fn unconfirmed_record() {
+    let mut view = GroupView::open(&["a".into(), "b".into(), "c".into()]);
+    let mark = Mark::new(1, 9);
+    let status = |role| Status {
+        role,
+        fenced: Term(1),
+        received: mark,
+        applied: mark,
+        heard: None,
+    };
+    view.observe(Time(10), Time(11), 0, Some(&status(Role::Primary)));
+    assert!(Cancelled::prove(&view, mark, Time(5)).is_none());
+    attempt(Repeat::Keyed)
+        .confirm(&view, mark, Time(5))
+        .unwrap_err();
+    view.observe(Time(10), Time(11), 1, Some(&status(Role::Replica)));
+    let proof = Cancelled::prove(&view, mark, Time(5)).expect("confirmed");
+    let not_run = attempt(Repeat::Keyed).cancelled(proof);
+    assert_eq!(not_run.cause(), Cause::Cancelled);
+    attempt(Repeat::Keyed)
+        .confirm(&view, mark, Time(11))
+        .unwrap_err();
+    let done = attempt(Repeat::Keyed).confirm(&view, mark, Time(5));
+    assert_eq!(done.ok().map(Done::mark), Some(mark));
+}
