Add the first usable membership

Ruled out: SWIM's random round-robin probes, since with 567 VMs in an availability zone the time to the first probe of a killed VM has no useful bound; three watchers per VM in hash-ring order bound it by their period. Summarising the VMs of other regions, since the members of the whole fleet take well under 1 MB and all-zone placement needs their names. Before/After: not measured. Conclusion: the types are final unless a test shows a fault; tests and measurements follow.

--- /dev/null
+++ b/chervildrift_core/src/membership/event.rs
@@ -0,0 +1,102 @@
+//! What the membership is told and what it asks for.
+
+use std::net::SocketAddr;
+
+use smallvec::SmallVec;
+
+use super::message::{Incarnation, Message, Place, State};
+use crate::generation::Version;
+use crate::types::Vm;
+
+/// This VM, as its settings and its start give it.
+#[derive(Clone, Debug)]
+pub struct Me {
+    /// Own name.
+    pub vm: Vm,
+    /// Own availability zone and peer address.
+    pub place: Place,
+    /// Number of this process, such as the wall-clock milliseconds at its start.
+    pub boot: u64,
+}
+
+/// A VM that may be asked for the members.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Seed {
+    /// Name of the VM, or none for an address from settings.
+    pub vm: Option<Vm>,
+    /// Address of its peer listeners.
+    pub address: SocketAddr,
+}
+
+/// A VM with its place and state.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Member {
+    /// Name of the VM.
+    pub vm: Vm,
+    /// Its availability zone and address.
+    pub place: Place,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
+    /// Its state.
+    pub state: State,
+    /// Whether it has said that it is leaving; such a VM is no dispatcher.
+    pub leaving: bool,
+}
+
+/// What happened.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// A datagram came in.
+    Message {
+        /// Address it came from.
+        from: SocketAddr,
+        /// Its content.
+        message: Message,
+    },
+    /// The settings or the platform's list name VMs. They are asked, and never overrule what the
+    /// protocol observes.
+    Seeds(Vec<Seed>),
+    /// A peer link showed whether a VM answers.
+    Evidence {
+        /// VM at the other end.
+        vm: Vm,
+        /// Whether it answered.
+        reachable: bool,
+    },
+    /// This VM has another configuration in force.
+    Version(Version),
+    /// This VM starts to leave.
+    Leave,
+    /// This VM's process is about to end.
+    Stop,
+    /// Time passed; due every [`Limits::tick`](super::Limits::tick).
+    Tick,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Send a datagram.
+    Send {
+        /// Receiver.
+        to: SocketAddr,
+        /// Content.
+        message: Message,
+    },
+    /// A VM's state, place or incarnation is another now.
+    Changed(Member),
+    /// A VM has a configuration in force that is newer than or conflicts with the own one.
+    Heard {
+        /// VM that has it.
+        vm: Vm,
+        /// Its generation and hash.
+        version: Version,
+    },
+    /// The members are known; sent once.
+    Joined,
+    /// A newer process with this VM's name has joined. This one must stop; sent once.
+    Replaced,
+}
+
+/// What to do after one event.
+pub type Actions = SmallVec<[Action; 2]>;
--- /dev/null
+++ b/chervildrift_core/src/membership/limits.rs
@@ -0,0 +1,92 @@
+//! Periods and bounds of the protocol.
+
+use std::time::Duration;
+
+/// Periods and bounds of the protocol; all VMs of a fleet use the same.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Period at which the program sends [`Tick`](super::Event::Tick).
+    pub tick: Duration,
+    /// VMs of the own availability zone that each VM probes in turn.
+    pub watched: usize,
+    /// Time between two probes in the own availability zone.
+    pub probe_period: Duration,
+    /// Time after which an unanswered probe also goes through other VMs.
+    pub direct_wait: Duration,
+    /// Time after which an unanswered probe raises a suspicion.
+    pub probe_wait: Duration,
+    /// Time a suspected VM of the own availability zone has to refute.
+    pub suspect_wait: Duration,
+    /// Time between two probes across availability zones.
+    pub far_period: Duration,
+    /// As `direct_wait`, across availability zones.
+    pub far_direct: Duration,
+    /// As `probe_wait`, across availability zones.
+    pub far_probe: Duration,
+    /// As `suspect_wait`, across availability zones.
+    pub far_suspect: Duration,
+    /// VMs asked to probe indirectly.
+    pub helpers: usize,
+    /// VMs that a new change is sent to at once.
+    pub fanout: usize,
+    /// Shortest time between two rounds of sending new changes at once.
+    pub push_period: Duration,
+    /// Time between two rounds of sending changes that are still due.
+    pub gossip_period: Duration,
+    /// Time between two anti-entropy exchanges without differences.
+    pub sync_period: Duration,
+    /// Time between two anti-entropy exchanges after one that found differences.
+    pub repair_period: Duration,
+    /// Time between two exchanges of a VM that joins.
+    pub join_period: Duration,
+    /// Time after which a VM that no seed answers goes on alone.
+    pub join_wait: Duration,
+    /// Buckets sent in one anti-entropy exchange.
+    pub sync_buckets: u8,
+    /// Buckets sent in one exchange of a VM that joins.
+    pub join_buckets: u8,
+    /// Sustained bytes per second for changes and pages, whatever the size of the fleet.
+    pub gossip_rate: u32,
+    /// Bytes for changes and pages that may go out at once after a quiet time.
+    pub gossip_burst: u32,
+    /// Time a failed or left VM is remembered.
+    pub forget_after: Duration,
+    /// Seeds remembered that are not yet members.
+    pub seeds: usize,
+}
+
+impl Default for Limits {
+    /// Returns the limits for the two-year size.
+    ///
+    /// A killed VM is known in its availability zone after at most
+    /// `watched * probe_period + probe_wait + suspect_wait` and a few ticks, which has to stay
+    /// under 1 s; faster probes cost traffic in proportion.
+    fn default() -> Self {
+        Self {
+            tick: Duration::from_millis(25),
+            watched: 3,
+            probe_period: Duration::from_millis(100),
+            direct_wait: Duration::from_millis(75),
+            probe_wait: Duration::from_millis(200),
+            suspect_wait: Duration::from_millis(350),
+            far_period: Duration::from_secs(1),
+            far_direct: Duration::from_millis(250),
+            far_probe: Duration::from_secs(1),
+            far_suspect: Duration::from_secs(3),
+            helpers: 3,
+            fanout: 4,
+            push_period: Duration::from_millis(10),
+            gossip_period: Duration::from_millis(100),
+            sync_period: Duration::from_secs(5),
+            repair_period: Duration::from_secs(1),
+            join_period: Duration::from_millis(50),
+            join_wait: Duration::from_secs(3),
+            sync_buckets: 4,
+            join_buckets: 8,
+            gossip_rate: 8_000,
+            gossip_burst: 64_000,
+            forget_after: Duration::from_secs(3_600),
+            seeds: 128,
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/membership/probe.rs
@@ -0,0 +1,321 @@
+//! Probes, indirect probes and suspicions.
+
+use std::net::SocketAddr;
+
+use super::message::{Body, Change, Incarnation};
+use super::{Action, Membership};
+use crate::types::{Time, Vm};
+
+/// Relayed probes held for others; more are refused, since their answers would come too late.
+const RELAYS: usize = 64;
+
+/// A probe that waits for its answer.
+#[derive(Clone, Debug)]
+pub(super) struct Probe {
+    pub sequence: u32,
+    pub vm: Vm,
+    pub indirect: bool,
+    pub relay_at: Time,
+    pub fail_at: Time,
+}
+
+/// A probe sent for another VM.
+#[derive(Clone, Debug)]
+pub(super) struct Relay {
+    sequence: u32,
+    vm: Vm,
+    asker: SocketAddr,
+    asked: u32,
+    until: Time,
+}
+
+/// A suspicion that its VM may still refute.
+#[derive(Clone, Debug)]
+pub(super) struct Suspicion {
+    pub vm: Vm,
+    pub incarnation: Incarnation,
+    pub until: Time,
+    pub remind: Option<Time>,
+}
+
+impl Membership {
+    /// Sends the probes that are due.
+    pub(super) fn start_probes(&mut self, now: Time) {
+        if now >= self.next.probe {
+            self.next.probe = self.after(now, self.next.probe, self.limits.probe_period);
+            self.probe_next(now);
+        }
+        if now >= self.next.far {
+            self.next.far = self.after(now, self.next.far, self.limits.far_period);
+            self.probe_far(now);
+        }
+    }
+
+    /// Returns the time one period after `due`, or a random time within one after `now` when
+    /// periods were missed, so that VMs started together do not probe together.
+    pub(super) fn after(&mut self, now: Time, due: Time, period: std::time::Duration) -> Time {
+        if due != Time::default() && now.since(due) < period {
+            return due + period;
+        }
+        now + self.rng.jitter(period)
+    }
+
+    /// Probes the next of the watched neighbours. An availability zone with fewer VMs has the
+    /// remaining turns for VMs of others.
+    fn probe_next(&mut self, now: Time) {
+        self.step = (self.step + 1) % self.limits.watched.max(1);
+        if self.step >= self.table.ring(self.zone).len() {
+            self.probe_far(now);
+            return;
+        }
+        let neighbour = self.table.successor(self.zone, self.hash, self.step);
+        if let Some(vm) = neighbour.cloned() {
+            self.probe(now, &vm);
+        }
+    }
+
+    fn probe_far(&mut self, now: Time) {
+        let far = self.table.random_far(self.zone, &mut self.rng);
+        if let Some(vm) = far.cloned() {
+            self.probe(now, &vm);
+        }
+    }
+
+    fn probe(&mut self, now: Time, vm: &Vm) {
+        if self.probes.iter().any(|probe| probe.vm == *vm) {
+            return;
+        }
+        let Some(record) = self.table.get(vm) else {
+            return;
+        };
+        let (near, address) = (record.zone == self.zone, record.address);
+        let (direct, total) = if near {
+            (self.limits.direct_wait, self.limits.probe_wait)
+        } else {
+            (self.limits.far_direct, self.limits.far_probe)
+        };
+        let sequence = self.count_up();
+        self.probes.push(Probe {
+            sequence,
+            vm: vm.clone(),
+            indirect: false,
+            relay_at: now + direct,
+            fail_at: now + total,
+        });
+        self.send(Some(vm), address, Body::Ping { sequence });
+    }
+
+    /// Acts on probes that have waited long enough.
+    pub(super) fn check_probes(&mut self, now: Time) {
+        let mut waiting = std::mem::take(&mut self.probes);
+        for probe in &mut waiting {
+            if !probe.indirect && now >= probe.relay_at {
+                probe.indirect = true;
+                self.probe_again(probe);
+            }
+        }
+        let failed = |probe: &&Probe| now >= probe.fail_at;
+        let lost: Vec<Vm> = waiting
+            .iter()
+            .filter(failed)
+            .map(|one| one.vm.clone())
+            .collect();
+        waiting.retain(|probe| now < probe.fail_at);
+        self.probes = waiting;
+        for vm in lost {
+            self.suspect(now, &vm);
+        }
+    }
+
+    /// Probes a VM a second time and through helpers.
+    fn probe_again(&mut self, probe: &Probe) {
+        let Some(record) = self.table.get(&probe.vm) else {
+            return;
+        };
+        let (address, zone) = (record.address, record.zone);
+        let sequence = probe.sequence;
+        self.send(Some(&probe.vm), address, Body::Ping { sequence });
+        for turn in 0..self.limits.helpers {
+            let helper = self.helper(zone, turn);
+            let Some(helper) = helper.filter(|helper| *helper != probe.vm) else {
+                continue;
+            };
+            let body = Body::Relay {
+                sequence,
+                vm: probe.vm.clone(),
+                address,
+            };
+            self.send_to(&helper, body);
+        }
+    }
+
+    /// Returns a random VM to probe a VM of `zone` through. Helpers for another availability zone
+    /// are taken there, here and anywhere in turn, since only two of them may be cut off.
+    fn helper(&mut self, zone: u16, turn: usize) -> Option<Vm> {
+        let near = zone == self.zone && self.table.ring(zone).len() > 1;
+        let helper = match turn % 3 {
+            _ if near => self.table.random(zone, &mut self.rng),
+            0 => self.table.random(zone, &mut self.rng),
+            1 if !self.table.ring(self.zone).is_empty() => {
+                self.table.random(self.zone, &mut self.rng)
+            }
+            _ => self.table.random_far(self.zone, &mut self.rng),
+        };
+        helper.cloned()
+    }
+
+    /// Answers a ping.
+    pub(super) fn answer(&mut self, from: SocketAddr, sender: &Vm, sequence: u32) {
+        self.send(Some(sender), from, Body::Ack { sequence });
+    }
+
+    /// Takes the answer of a VM to a ping of this VM, and reports it when it was for another.
+    pub(super) fn acknowledge(&mut self, sender: &Vm, sequence: u32) {
+        self.probes
+            .retain(|probe| probe.sequence != sequence || probe.vm != *sender);
+        let found = self
+            .relays
+            .iter()
+            .position(|relay| relay.sequence == sequence && relay.vm == *sender);
+        if let Some(index) = found {
+            let relay = self.relays.swap_remove(index);
+            let body = Body::Relayed {
+                sequence: relay.asked,
+                vm: relay.vm,
+            };
+            self.send(None, relay.asker, body);
+        }
+    }
+
+    /// Pings a VM for another.
+    pub(super) fn relay(
+        &mut self,
+        now: Time,
+        asker: SocketAddr,
+        number: u32,
+        vm: &Vm,
+        address: SocketAddr,
+    ) {
+        self.relays.retain(|relay| now < relay.until);
+        if self.relays.len() >= RELAYS {
+            return;
+        }
+        let sequence = self.count_up();
+        self.relays.push(Relay {
+            sequence,
+            vm: vm.clone(),
+            asker,
+            asked: number,
+            until: now + self.limits.far_probe,
+        });
+        self.send(Some(vm), address, Body::Ping { sequence });
+    }
+
+    /// Takes the report that a VM answered a helper.
+    pub(super) fn relayed(&mut self, sequence: u32, vm: &Vm) {
+        self.probes
+            .retain(|probe| probe.sequence != sequence || probe.vm != *vm);
+    }
+
+    /// Takes what a peer link showed. A VM that does not answer there is probed again at once and
+    /// through helpers, since the link alone may be cut.
+    pub(super) fn observe(&mut self, now: Time, vm: &Vm, reachable: bool) {
+        if reachable {
+            self.probes.retain(|probe| probe.vm != *vm);
+            return;
+        }
+        let member = self.table.get(vm).filter(|one| one.state.is_member());
+        if member.is_none() || self.probes.iter().any(|one| one.vm == *vm && one.indirect) {
+            return;
+        }
+        self.probes.retain(|probe| probe.vm != *vm);
+        let wait = self
+            .limits
+            .probe_wait
+            .saturating_sub(self.limits.direct_wait);
+        let probe = Probe {
+            sequence: self.count_up(),
+            vm: vm.clone(),
+            indirect: true,
+            relay_at: now,
+            fail_at: now + wait,
+        };
+        self.probe_again(&probe);
+        self.probes.push(probe);
+    }
+
+    /// Starts the time that a suspected VM has to refute.
+    pub(super) fn await_refutation(&mut self, now: Time, change: &Change) {
+        let near = self.table.get(&change.vm).map(|record| record.zone) == Some(self.zone);
+        let wait = if near {
+            self.limits.suspect_wait
+        } else {
+            self.limits.far_suspect
+        };
+        self.suspicions.push(Suspicion {
+            vm: change.vm.clone(),
+            incarnation: change.incarnation,
+            until: now + wait,
+            remind: None,
+        });
+    }
+
+    /// Tells a VM that it is suspected, now and until it refutes.
+    pub(super) fn remind(&mut self, now: Time, vm: &Vm) {
+        let Some(record) = self.table.get(vm) else {
+            return;
+        };
+        let address = record.address;
+        let near = record.zone == self.zone;
+        let period = if near {
+            self.limits.probe_period
+        } else {
+            self.limits.far_direct
+        };
+        let Some(suspicion) = self.suspicions.iter_mut().find(|one| one.vm == *vm) else {
+            return;
+        };
+        suspicion.remind = Some(now + period);
+        let sequence = self.count_up();
+        self.send(Some(vm), address, Body::Ping { sequence });
+    }
+
+    /// Reminds suspected VMs, and declares those failed that did not refute in time.
+    pub(super) fn check_suspicions(&mut self, now: Time) {
+        if self.suspicions.is_empty() {
+            return;
+        }
+        let over = |one: &&Suspicion| now >= one.until;
+        let due = |one: &&Suspicion| now < one.until && one.remind.is_some_and(|at| now >= at);
+        let failed: Vec<Suspicion> = self.suspicions.iter().filter(over).cloned().collect();
+        let remind: Vec<Suspicion> = self.suspicions.iter().filter(due).cloned().collect();
+        self.suspicions.retain(|one| now < one.until);
+        for one in failed {
+            self.fail(now, &one.vm, one.incarnation);
+        }
+        for one in remind {
+            self.remind(now, &one.vm);
+        }
+    }
+
+    fn count_up(&mut self) -> u32 {
+        self.sequence = self.sequence.wrapping_add(1);
+        self.sequence
+    }
+
+    fn send_to(&mut self, vm: &Vm, body: Body) {
+        let address = self.table.get(vm).map(|record| record.address);
+        if let Some(address) = address {
+            self.send(Some(vm), address, body);
+        }
+    }
+
+    /// Sends a message with the changes that fit it.
+    pub(super) fn send(&mut self, to: Option<&Vm>, address: SocketAddr, body: Body) {
+        let message = self.laden(to, body);
+        self.out.push(Action::Send {
+            to: address,
+            message,
+        });
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/membership/spread.rs
@@ -0,0 +1,195 @@
+//! Spreading of changes and of the configuration in force.
+
+use super::message::{Body, DATAGRAM_BYTES, Message, State, base_size};
+use super::queue::{Due, Scope};
+use super::{Action, Membership};
+use crate::generation::Version;
+use crate::types::{Time, Vm};
+
+/// VMs of each other availability zone that one round of all VMs of an availability zone reaches.
+/// Enough that some arrive when a few are lost, and few against the size of a zone.
+const FAR_PUSHES: u64 = 8;
+
+/// Rounds in which a VM announces a configuration that it has put in force.
+const VERSION_ROUNDS: u8 = 3;
+
+/// Retransmissions of a change beyond the first round, as a multiple of log2 of the zone's size.
+const SPREAD_FACTOR: f64 = 1.5;
+
+impl Membership {
+    /// Returns a message without changes.
+    pub(super) fn bare(&self, body: Body) -> Message {
+        Message {
+            from: self.me.vm.clone(),
+            incarnation: self.incarnation,
+            version: self.version,
+            body,
+            changes: Vec::new(),
+        }
+    }
+
+    /// Returns a message with what is held against its receiver and the changes that fit.
+    pub(super) fn laden(&mut self, to: Option<&Vm>, body: Body) -> Message {
+        let mut message = self.bare(body);
+        let record = to.and_then(|vm| self.table.get(vm));
+        let zone = record.map_or(u16::MAX, |record| record.zone);
+        if let Some(record) = record
+            && !matches!(record.state, State::Alive | State::Leaving)
+        {
+            message.changes.push(self.table.change(record));
+        }
+        if matches!(message.body, Body::Sync { .. } | Body::Synced { .. }) {
+            message.changes.push(self.own_change());
+        }
+        self.fill(zone, &mut message);
+        message
+    }
+
+    /// Adds the changes due to a message for a VM in `zone`.
+    fn fill(&mut self, zone: u16, message: &mut Message) {
+        if self.queue.is_empty() {
+            return;
+        }
+        let used = message.size();
+        let mut room = DATAGRAM_BYTES
+            .saturating_sub(used)
+            .min(self.allowance as usize);
+        let before = room;
+        let own = self.own_change();
+        let table = &self.table;
+        let changes = &mut message.changes;
+        self.queue.fill(zone, |vm| {
+            let known = if *vm == own.vm {
+                Some(own.clone())
+            } else {
+                table.get(vm).map(|record| table.change(record))
+            };
+            // A VM that was forgotten meanwhile uses up its turns without being sent.
+            let Some(change) = known else {
+                return true;
+            };
+            let size = change.size();
+            if size > room {
+                return false;
+            }
+            room -= size;
+            changes.push(change);
+            true
+        });
+        self.allowance -= (before - room) as u32;
+    }
+
+    /// Queues a VM's state for piggybacking.
+    pub(super) fn enqueue(&mut self, vm: &Vm, scope: Scope) {
+        let zone = self.table.get(vm).map_or(self.zone, |record| record.zone);
+        let left = self.transmissions();
+        let vm = vm.clone();
+        self.queue.push(Due {
+            vm,
+            zone,
+            scope,
+            left,
+        });
+        self.fresh = true;
+    }
+
+    /// Returns how often a change is sent by each VM.
+    fn transmissions(&self) -> u8 {
+        let size = self.table.ring(self.zone).len() as f64 + 2.0;
+        let repeats = (SPREAD_FACTOR * size.log2()).ceil();
+        self.limits.fanout as u8 + repeats as u8
+    }
+
+    /// Takes the configuration that this VM has put in force.
+    pub(super) fn publish(&mut self, version: Version) {
+        if version == self.version {
+            return;
+        }
+        self.version = version;
+        self.version_rounds = VERSION_ROUNDS;
+        self.fresh = true;
+    }
+
+    /// Sends what is new at once, unless a round has just been sent.
+    pub(super) fn push_fresh(&mut self, now: Time) {
+        if self.fresh && now >= self.next.push {
+            self.next.push = now + self.limits.push_period;
+            self.fresh = false;
+            self.round(self.limits.fanout);
+        }
+    }
+
+    /// Sends what is still due, once per period.
+    pub(super) fn start_gossip(&mut self, now: Time) {
+        if now < self.next.gossip {
+            return;
+        }
+        self.next.gossip = self.after(now, self.next.gossip, self.limits.gossip_period);
+        if !self.queue.is_empty() || self.version_rounds > 0 {
+            self.round(self.limits.fanout / 2);
+        }
+    }
+
+    /// Sends one round to random VMs of the own availability zone and some of the others.
+    fn round(&mut self, count: usize) {
+        let announce = self.version_rounds > 0;
+        self.version_rounds = self.version_rounds.saturating_sub(1);
+        for _ in 0..count {
+            let near = self.table.random(self.zone, &mut self.rng).cloned();
+            self.gossip(near, announce);
+        }
+        let size = self.table.ring(self.zone).len() as u64 + 1;
+        for _ in 0..self.table.other_zones(self.zone) {
+            if self.rng.below(size) < FAR_PUSHES {
+                let far = self.table.random_far(self.zone, &mut self.rng).cloned();
+                self.gossip(far, announce);
+            }
+        }
+    }
+
+    fn gossip(&mut self, vm: Option<Vm>, announce: bool) {
+        let Some(vm) = vm else {
+            return;
+        };
+        let Some(record) = self.table.get(&vm) else {
+            return;
+        };
+        let to = record.address;
+        let message = self.laden(Some(&vm), Body::Gossip);
+        if message.changes.is_empty() && !announce {
+            return;
+        }
+        let cost = base_size(&self.me.vm) as u32;
+        self.allowance = self.allowance.saturating_sub(cost);
+        self.out.push(Action::Send { to, message });
+    }
+
+    /// Renews the allowance for changes and pages.
+    pub(super) fn refill(&mut self, now: Time) {
+        let gained = now.since(self.ticked).as_secs_f64() * f64::from(self.limits.gossip_rate);
+        let gained = gained.min(f64::from(self.limits.gossip_burst)) as u32;
+        let full = self.limits.gossip_burst;
+        self.allowance = self.allowance.saturating_add(gained).min(full);
+    }
+
+    /// Announces that this VM is leaving.
+    pub(super) fn leave(&mut self) {
+        if self.state == State::Alive {
+            self.restate(State::Leaving);
+        }
+    }
+
+    /// Announces that this VM's process ends, at once and without a later chance.
+    pub(super) fn stop(&mut self, now: Time) {
+        self.restate(State::Left);
+        self.next.push = now;
+        self.push_fresh(now);
+    }
+
+    fn restate(&mut self, state: State) {
+        self.state = state;
+        self.incarnation.count += 1;
+        let me = self.me.vm.clone();
+        self.enqueue(&me, Scope::Fleet);
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/membership/table.rs
@@ -0,0 +1,297 @@
+//! Members of the fleet as one VM knows them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::message::{BUCKETS, Change, Incarnation, Place, State};
+use crate::placement::digest;
+use crate::rng::{Rng, mix};
+use crate::types::{Time, Vm, Zone};
+
+/// One VM as the table holds it.
+#[derive(Clone, Debug)]
+pub(super) struct Record {
+    pub vm: Vm,
+    pub hash: u64,
+    pub zone: u16,
+    pub address: SocketAddr,
+    pub incarnation: Incarnation,
+    pub state: State,
+    pub leaving: bool,
+    pub since: Time,
+}
+
+/// Members of one availability zone in ring order.
+#[derive(Debug)]
+struct Ring {
+    zone: Zone,
+    nodes: Vec<(u64, Vm)>,
+}
+
+/// All known VMs, with indexes by availability zone and by anti-entropy bucket.
+#[derive(Debug)]
+pub(super) struct Table {
+    records: HashMap<Vm, Record>,
+    rings: Vec<Ring>,
+    buckets: Vec<Vec<Vm>>,
+    digests: Vec<u32>,
+    dead: Vec<Vm>,
+    members: usize,
+}
+
+impl Table {
+    pub fn open() -> Self {
+        Self {
+            records: HashMap::new(),
+            rings: Vec::new(),
+            buckets: vec![Vec::new(); BUCKETS],
+            digests: vec![0; BUCKETS],
+            dead: Vec::new(),
+            members: 0,
+        }
+    }
+
+    pub fn get(&self, vm: &Vm) -> Option<&Record> {
+        self.records.get(vm)
+    }
+
+    pub fn records(&self) -> impl Iterator<Item = &Record> {
+        self.records.values()
+    }
+
+    /// Returns the VMs that may be dispatchers.
+    pub fn live(&self) -> impl Iterator<Item = (&Vm, &Zone)> + Clone {
+        let may = |record: &&Record| record.state.is_member() && !record.leaving;
+        let named = |record: &Record| self.zone(record.zone);
+        self.records
+            .values()
+            .filter(may)
+            .map(move |record| (&record.vm, named(record)))
+    }
+
+    /// Returns the VMs that failed or left longer than `keep` ago.
+    pub fn expired(&self, now: Time, keep: Duration) -> Vec<Vm> {
+        let old = |vm: &&Vm| {
+            self.get(vm)
+                .is_some_and(|record| now.since(record.since) > keep)
+        };
+        self.dead.iter().filter(old).cloned().collect()
+    }
+
+    pub const fn members(&self) -> usize {
+        self.members
+    }
+
+    pub fn digests(&self) -> &[u32] {
+        &self.digests
+    }
+
+    pub fn bucket(&self, index: usize) -> &[Vm] {
+        self.buckets.get(index).map_or(&[], Vec::as_slice)
+    }
+
+    pub fn zone(&self, index: u16) -> &Zone {
+        &self.rings[usize::from(index)].zone
+    }
+
+    /// Returns the index of `zone`, adding the zone when it is new.
+    pub fn zone_index(&mut self, zone: &Zone) -> u16 {
+        if let Some(index) = self.rings.iter().position(|ring| ring.zone == *zone) {
+            return index as u16;
+        }
+        let zone = zone.clone();
+        let nodes = Vec::new();
+        self.rings.push(Ring { zone, nodes });
+        (self.rings.len() - 1) as u16
+    }
+
+    /// Returns the members of an availability zone.
+    pub fn ring(&self, zone: u16) -> &[(u64, Vm)] {
+        &self.rings[usize::from(zone)].nodes
+    }
+
+    /// Returns the number of other availability zones with members.
+    pub fn other_zones(&self, zone: u16) -> usize {
+        let filled =
+            |(index, ring): &(usize, &Ring)| *index != usize::from(zone) && !ring.nodes.is_empty();
+        self.rings.iter().enumerate().filter(filled).count()
+    }
+
+    /// Returns a random member of an availability zone.
+    pub fn random(&self, zone: u16, rng: &mut Rng) -> Option<&Vm> {
+        let nodes = self.ring(zone);
+        let index = rng.below(nodes.len() as u64) as usize;
+        nodes.get(index).map(|(_, vm)| vm)
+    }
+
+    /// Returns a random member of a random other availability zone.
+    pub fn random_far(&self, zone: u16, rng: &mut Rng) -> Option<&Vm> {
+        let count = self.other_zones(zone) as u64;
+        let chosen = rng.below(count) as usize;
+        let far = |index: &usize| *index != usize::from(zone);
+        let mut others = (0..self.rings.len())
+            .filter(far)
+            .filter(|index| !self.rings[*index].nodes.is_empty());
+        let index = others.nth(chosen)?;
+        self.random(index as u16, rng)
+    }
+
+    /// Tells whether any VM failed or left.
+    pub const fn has_dead(&self) -> bool {
+        !self.dead.is_empty()
+    }
+
+    /// Returns the bucket and the digest part of a VM that is not in the table.
+    pub fn bucket_with(hash: u64, incarnation: Incarnation, state: State) -> (usize, u32) {
+        let part = if state.is_member() {
+            print(hash, incarnation, state == State::Leaving)
+        } else {
+            0
+        };
+        (bucket_of(hash), part)
+    }
+
+    /// Returns the bucket of a VM and its digest part there, which is 0 unless it is a member.
+    pub fn part(&self, vm: &Vm) -> (usize, u32) {
+        let known = self.get(vm).filter(|record| record.state.is_member());
+        known.map_or((0, 0), |record| (bucket_of(record.hash), record.print()))
+    }
+
+    /// Returns a random VM that failed or left.
+    pub fn random_dead(&self, rng: &mut Rng) -> Option<&Vm> {
+        let index = rng.below(self.dead.len() as u64) as usize;
+        self.dead.get(index)
+    }
+
+    /// Returns the member at `offset` places after `hash` in the ring of an availability zone.
+    pub fn successor(&self, zone: u16, hash: u64, offset: usize) -> Option<&Vm> {
+        let nodes = self.ring(zone);
+        let start = nodes.partition_point(|(other, _)| *other <= hash);
+        let index = (start + offset) % nodes.len().max(1);
+        nodes.get(index).map(|(_, vm)| vm)
+    }
+
+    /// Adds a VM.
+    pub fn insert(&mut self, change: &Change, place: &Place, now: Time) {
+        let hash = digest(change.vm.as_str());
+        let record = Record {
+            vm: change.vm.clone(),
+            hash,
+            zone: self.zone_index(&place.zone),
+            address: place.address,
+            incarnation: change.incarnation,
+            state: change.state,
+            leaving: change.state == State::Leaving,
+            since: now,
+        };
+        let bucket = &mut self.buckets[bucket_of(hash)];
+        let index = bucket.partition_point(|vm| *vm < record.vm);
+        bucket.insert(index, record.vm.clone());
+        self.link(&record);
+        self.records.insert(record.vm.clone(), record);
+    }
+
+    /// Takes over a change of a known VM, and its new place when it gives one.
+    pub fn update(&mut self, change: &Change, now: Time) {
+        let Some(mut record) = self.records.remove(&change.vm) else {
+            return;
+        };
+        self.unlink(&record);
+        let same = record.incarnation.boot == change.incarnation.boot;
+        let kept = same && record.leaving && change.state == State::Suspect;
+        record.leaving = kept || change.state == State::Leaving;
+        record.incarnation = change.incarnation;
+        record.state = change.state;
+        record.since = now;
+        if let Some(place) = &change.place {
+            record.zone = self.zone_index(&place.zone);
+            record.address = place.address;
+        }
+        self.link(&record);
+        self.records.insert(record.vm.clone(), record);
+    }
+
+    /// Forgets a VM.
+    pub fn remove(&mut self, vm: &Vm) {
+        let Some(record) = self.records.remove(vm) else {
+            return;
+        };
+        self.unlink(&record);
+        self.buckets[bucket_of(record.hash)].retain(|other| other != vm);
+    }
+
+    /// Returns what this VM would tell others of `record`.
+    pub fn change(&self, record: &Record) -> Change {
+        let placed = matches!(record.state, State::Alive | State::Leaving);
+        let place = placed.then(|| self.place(record));
+        Change {
+            vm: record.vm.clone(),
+            incarnation: record.incarnation,
+            state: record.state,
+            place,
+        }
+    }
+
+    pub fn place(&self, record: &Record) -> Place {
+        Place {
+            zone: self.zone(record.zone).clone(),
+            address: record.address,
+        }
+    }
+
+    /// Returns the memory held, in bytes, with the names counted once per VM.
+    pub fn bytes(&self) -> usize {
+        let record = size_of::<(Vm, Record)>() + 1;
+        let names: usize = self.records.keys().map(|vm| vm.as_str().len() + 16).sum();
+        let links = size_of::<(u64, Vm)>() + 2 * size_of::<Vm>();
+        self.records.capacity() * record + names + self.records.len() * links
+    }
+
+    fn link(&mut self, record: &Record) {
+        if !record.state.is_member() {
+            self.dead.push(record.vm.clone());
+            return;
+        }
+        self.members += 1;
+        self.digests[bucket_of(record.hash)] ^= record.print();
+        let node = (record.hash, record.vm.clone());
+        let nodes = &mut self.rings[usize::from(record.zone)].nodes;
+        let index = nodes.partition_point(|other| *other < node);
+        nodes.insert(index, node);
+    }
+
+    fn unlink(&mut self, record: &Record) {
+        if !record.state.is_member() {
+            self.dead.retain(|vm| *vm != record.vm);
+            return;
+        }
+        self.members -= 1;
+        self.digests[bucket_of(record.hash)] ^= record.print();
+        let nodes = &mut self.rings[usize::from(record.zone)].nodes;
+        let found =
+            nodes.binary_search_by(|(hash, vm)| (*hash, vm).cmp(&(record.hash, &record.vm)));
+        if let Ok(index) = found {
+            nodes.remove(index);
+        }
+    }
+}
+
+/// Returns the anti-entropy bucket of a name's hash.
+pub(super) const fn bucket_of(hash: u64) -> usize {
+    (hash >> 32) as usize % BUCKETS
+}
+
+/// Returns the part of a bucket's digest that stands for one member.
+///
+/// The count is left out: a refuted suspicion stays in the availability zone where it arose.
+const fn print(hash: u64, incarnation: Incarnation, leaving: bool) -> u32 {
+    let salt = incarnation.boot ^ ((leaving as u64) << 63);
+    (mix(hash ^ mix(salt)) >> 32) as u32
+}
+
+impl Record {
+    const fn print(&self) -> u32 {
+        print(self.hash, self.incarnation, self.leaving)
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/placement/cache.rs
@@ -0,0 +1,155 @@
+//! Placement that is kept between requests and recomputed by availability zone.
+
+use std::collections::HashMap;
+
+use smallvec::SmallVec;
+
+use super::{KEPT, digest, weight};
+use crate::types::{Upstream, Vm, Zone};
+
+/// A VM and the hash of its name.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct Node {
+    hash: u64,
+    vm: Vm,
+}
+
+/// Live VMs of one availability zone, in order of hash.
+#[derive(Debug, Default)]
+struct Site {
+    version: u64,
+    nodes: Vec<Node>,
+}
+
+/// Order computed for one upstream.
+#[derive(Debug, Default)]
+struct Entry {
+    version: u64,
+    order: SmallVec<[Vm; KEPT]>,
+}
+
+/// Dispatchers of upstreams over the live VMs.
+///
+/// An entry is recomputed on its next use after the membership of its own availability zone has
+/// changed, so a change elsewhere costs nothing.
+#[derive(Debug, Default)]
+pub struct Placement {
+    version: u64,
+    sites: HashMap<Zone, Site>,
+    homes: HashMap<Vm, Zone>,
+    cache: HashMap<Upstream, Entry>,
+}
+
+impl Placement {
+    /// Opens a placement without live VMs.
+    #[must_use]
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Returns the version, which rises with every change of the live VMs.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Returns the number of live VMs.
+    #[must_use]
+    pub fn live(&self) -> usize {
+        self.homes.len()
+    }
+
+    /// Adds a live VM, or moves it to another availability zone.
+    pub fn add(&mut self, vm: &Vm, zone: &Zone) {
+        if self.homes.get(vm) == Some(zone) {
+            return;
+        }
+        self.remove(vm);
+        self.homes.insert(vm.clone(), zone.clone());
+        let node = Node {
+            hash: digest(vm.as_str()),
+            vm: vm.clone(),
+        };
+        let site = self.sites.entry(zone.clone()).or_default();
+        let index = site.nodes.partition_point(|other| *other < node);
+        site.nodes.insert(index, node);
+        self.version += 1;
+        site.version = self.version;
+    }
+
+    /// Removes a VM that is no longer live or is leaving.
+    pub fn remove(&mut self, vm: &Vm) {
+        let Some(zone) = self.homes.remove(vm) else {
+            return;
+        };
+        self.version += 1;
+        if let Some(site) = self.sites.get_mut(&zone) {
+            site.nodes.retain(|node| node.vm != *vm);
+            site.version = self.version;
+        }
+    }
+
+    /// Returns the dispatcher of `upstream`, which lies in `zone`.
+    pub fn dispatcher(&mut self, upstream: &Upstream, zone: &Zone) -> Option<&Vm> {
+        self.order(upstream, zone).first()
+    }
+
+    /// Returns the dispatcher of `upstream`, which lies in `zone`, and then its successors.
+    pub fn order(&mut self, upstream: &Upstream, zone: &Zone) -> &[Vm] {
+        let version = self.effective(zone);
+        let fresh = self
+            .cache
+            .get(upstream)
+            .is_some_and(|entry| entry.version == version);
+        if !fresh {
+            let order = self.compute(upstream, zone);
+            let entry = Entry { version, order };
+            self.cache.insert(upstream.clone(), entry);
+        }
+        self.cache.get(upstream).map_or(&[], |entry| &entry.order)
+    }
+
+    /// Forgets an upstream that is no longer declared.
+    pub fn forget(&mut self, upstream: &Upstream) {
+        self.cache.remove(upstream);
+    }
+
+    /// Returns the memory held, in bytes.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let node = size_of::<Node>() + size_of::<(Vm, Zone)>() + size_of::<u64>();
+        let entry = size_of::<(Upstream, Entry)>() + size_of::<u64>();
+        self.homes.capacity() * node + self.cache.capacity() * entry
+    }
+
+    /// Returns the version that an entry of `zone` depends on.
+    fn effective(&self, zone: &Zone) -> u64 {
+        match self.sites.get(zone) {
+            Some(site) if !site.nodes.is_empty() => site.version,
+            _ => self.version,
+        }
+    }
+
+    fn compute(&self, upstream: &Upstream, zone: &Zone) -> SmallVec<[Vm; KEPT]> {
+        let key = digest(upstream.as_str());
+        match self.sites.get(zone) {
+            Some(site) if !site.nodes.is_empty() => greatest(key, &site.nodes),
+            _ => greatest(key, self.sites.values().flat_map(|site| &site.nodes)),
+        }
+    }
+}
+
+/// Returns the VMs with the greatest weights, greatest first.
+fn greatest<'a>(key: u64, nodes: impl IntoIterator<Item = &'a Node>) -> SmallVec<[Vm; KEPT]> {
+    let mut best: SmallVec<[(u64, &Vm); KEPT]> = SmallVec::new();
+    for node in nodes {
+        let candidate = (weight(key, node.hash), &node.vm);
+        if best.len() == KEPT && best.last().is_some_and(|last| *last >= candidate) {
+            continue;
+        }
+        best.truncate(KEPT - 1);
+        let index = best.partition_point(|other| *other > candidate);
+        best.insert(index, candidate);
+    }
+    best.into_iter().map(|(_, vm)| vm.clone()).collect()
+}
