Add the first usable peer link

Cause: an entry has to forward requests to the dispatcher on another VM, and the event loop needs typed messages that any thread can exchange. Ruled out: a hello as an RPC method, because whoever does not hold the fleet key would then reach the RPC system and its large messages before the proof; an exception for "not taken", because the RPC library raises the same kind for a socket that timed out, so every result carries a `refused` flag instead. Before: no module.

--- /dev/null
+++ b/chervildrift/src/gossip/mod.rs
@@ -0,0 +1,1 @@
+//! Membership messages between VMs over UDP.
--- /dev/null
+++ b/chervildrift/src/peer/call.rs
@@ -0,0 +1,153 @@
+//! Calls on their way to a peer.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use chervildrift_core::types::GroupId;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, timeout_at};
+
+use super::Error;
+use super::message::{GroupState, Handover, Pong, Reply, Request, Step};
+use super::peer_capnp::peer::Client;
+use super::transmit::transmit;
+
+/// A call to a peer.
+#[derive(Debug)]
+pub enum Call {
+    Forward(Request),
+    Transaction(Step, Request),
+    GroupState(GroupId),
+    Bundle(String),
+    BurnDelta(Vec<u8>),
+    Handover(Handover),
+    Ping,
+}
+
+impl Call {
+    /// Returns about how many bytes the contents of the call take.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Forward(request) | Self::Transaction(_, request) => request_bytes(request),
+            Self::BurnDelta(delta) => delta.len(),
+            Self::Handover(handover) => handover.state.len(),
+            Self::GroupState(_) | Self::Bundle(_) | Self::Ping => 0,
+        }
+    }
+}
+
+fn request_bytes(request: &Request) -> usize {
+    let statements = request
+        .statements
+        .iter()
+        .map(|statement| statement.sql.len() + statement.params.len())
+        .sum::<usize>();
+    statements + request.key.len()
+}
+
+/// Answer of a peer; each call has one variant.
+#[derive(Debug)]
+pub enum Answer {
+    Reply(Reply),
+    GroupState(Option<GroupState>),
+    Bundle(Option<Vec<u8>>),
+    BurnDelta,
+    Handover(bool),
+    Pong(Pong),
+}
+
+/// A call that waits for its answer.
+///
+/// Dropping it fails the call with the failure of its link.
+#[derive(Debug)]
+pub struct Pending {
+    call: Call,
+    deadline: Instant,
+    reply: Option<oneshot::Sender<Result<Answer, Error>>>,
+    sent: Cell<bool>,
+    failure: Rc<RefCell<Error>>,
+}
+
+/// A call as it comes from another thread.
+#[derive(Debug)]
+pub struct Order {
+    pub call: Call,
+    pub deadline: Instant,
+    pub reply: oneshot::Sender<Result<Answer, Error>>,
+}
+
+impl Order {
+    /// Fails the call, which has not been sent.
+    pub fn fail(self, error: &Error) {
+        // The caller may have stopped waiting.
+        let _ = self.reply.send(Err(error.for_call(false)));
+    }
+}
+
+impl Pending {
+    /// Takes an order over; `failure` holds what the call fails with when it is dropped.
+    pub fn open(order: Order, failure: Rc<RefCell<Error>>) -> Self {
+        Self {
+            call: order.call,
+            deadline: order.deadline,
+            reply: Some(order.reply),
+            sent: Cell::new(false),
+            failure,
+        }
+    }
+
+    /// Runs the call over the client that `ready` yields, unless its caller stops waiting.
+    pub async fn run(mut self, ready: impl Future<Output = Result<Client, Error>>) {
+        let Self {
+            call,
+            deadline,
+            reply,
+            sent,
+            ..
+        } = &mut self;
+        let result = tokio::select! {
+            biased;
+            () = closed(reply.as_mut()) => None,
+            result = exchange(call, *deadline, sent, ready) => Some(result),
+        };
+        let reply = self.reply.take();
+        if let (Some(reply), Some(result)) = (reply, result) {
+            // The caller may have stopped waiting at this moment.
+            let _ = reply.send(result);
+        }
+    }
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if let Some(reply) = self.reply.take() {
+            let error = self.failure.borrow().for_call(self.sent.get());
+            // The caller may have stopped waiting.
+            let _ = reply.send(Err(error));
+        }
+    }
+}
+
+/// Waits until the caller stops waiting.
+async fn closed(reply: Option<&mut oneshot::Sender<Result<Answer, Error>>>) {
+    if let Some(reply) = reply {
+        reply.closed().await;
+    }
+}
+
+/// Waits for the client, sends the call and waits for its answer.
+async fn exchange(
+    call: &mut Call,
+    deadline: Instant,
+    sent: &Cell<bool>,
+    ready: impl Future<Output = Result<Client, Error>>,
+) -> Result<Answer, Error> {
+    let work = async {
+        let client = ready.await?;
+        transmit(&client, call, deadline, sent).await
+    };
+    match timeout_at(deadline, work).await {
+        Ok(result) => result.map_err(|error| error.for_call(sent.get())),
+        Err(_) => Err(Error::Deadline { sent: sent.get() }),
+    }
+}
--- /dev/null
+++ b/chervildrift/src/peer/context.rs
@@ -0,0 +1,30 @@
+//! What all connections of one peer thread share.
+
+use std::cell::Cell;
+use std::sync::Arc;
+
+use tokio::sync::{mpsc, watch};
+
+use super::counts::Counts;
+use super::hello::Identity;
+use super::message::Inbound;
+use super::options::Limits;
+
+/// State shared by the links and inbound connections of one peer thread.
+#[derive(Debug)]
+pub struct Context {
+    /// Identity of this VM for hellos.
+    pub identity: Identity,
+    /// Limits of links and connections.
+    pub limits: Limits,
+    /// Channel to the event loop.
+    pub inbound: mpsc::Sender<Inbound>,
+    /// Counters.
+    pub counts: Arc<Counts>,
+    /// Inbound calls that wait for their answer.
+    pub serving: Cell<usize>,
+    /// Set when no further calls are taken.
+    pub stopping: Cell<bool>,
+    /// Turns true when the connections are to be closed.
+    pub closing: watch::Sender<bool>,
+}
--- /dev/null
+++ b/chervildrift/src/peer/error.rs
@@ -0,0 +1,108 @@
+//! Errors of peer links.
+
+use std::io;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why a call over a peer link gave no answer.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    #[allow(missing_docs, reason = "the macro takes no docs on fields; `sent` is explained at the method")]
+    pub enum Error {
+        /// The address could not be bound or the thread not started.
+        Bind(kind: io::ErrorKind) {
+            display("cannot listen for peers: {}", kind)
+        }
+        /// The fleet key is shorter than the least length.
+        WeakKey {
+            display("the fleet key is too short")
+        }
+        /// The links are stopping or have stopped.
+        Stopped { sent: bool } {
+            display("peer links are stopped, sent: {}", sent)
+        }
+        /// Too many calls are in flight.
+        Busy {
+            display("too many calls in flight to the peer")
+        }
+        /// No connection could be made.
+        Unreachable(kind: io::ErrorKind) {
+            display("cannot connect to the peer: {}", kind)
+        }
+        /// The peer does not hold the fleet key, or does not speak the protocol.
+        Foreign {
+            display("the peer is not a member of the fleet")
+        }
+        /// The peer has not answered a ping, or not completed its hello, in time.
+        Unresponsive { sent: bool } {
+            display("the peer does not answer, sent: {}", sent)
+        }
+        /// The connection was lost.
+        Disconnected { sent: bool } {
+            display("the connection to the peer was lost, sent: {}", sent)
+        }
+        /// The deadline of the call has passed.
+        Deadline { sent: bool } {
+            display("the deadline of the call has passed, sent: {}", sent)
+        }
+        /// The peer took no notice of the call: it is overloaded or stopping.
+        Refused {
+            display("the peer refused the call unread")
+        }
+        /// The peer does not know the call.
+        Unsupported {
+            display("the peer does not support the call")
+        }
+        /// The call is larger than a link carries.
+        Oversized {
+            display("the call is too large for a peer link")
+        }
+        /// The peer reported a fault of its own, or its answer made no sense.
+        Failed(detail: String) {
+            display("the peer failed to answer: {}", detail)
+        }
+    }
+}
+
+impl Error {
+    /// Tells whether the peer may have received the call.
+    #[must_use]
+    pub const fn sent(&self) -> bool {
+        match self {
+            Self::Stopped { sent }
+            | Self::Unresponsive { sent }
+            | Self::Disconnected { sent }
+            | Self::Deadline { sent } => *sent,
+            Self::Failed(_) => true,
+            Self::Bind(_)
+            | Self::WeakKey
+            | Self::Busy
+            | Self::Unreachable(_)
+            | Self::Foreign
+            | Self::Refused
+            | Self::Unsupported
+            | Self::Oversized => false,
+        }
+    }
+
+    /// Returns the error of a link as one call of it sees it.
+    pub(super) fn for_call(&self, sent: bool) -> Self {
+        match self {
+            Self::Stopped { .. } => Self::Stopped { sent },
+            Self::Unresponsive { .. } => Self::Unresponsive { sent },
+            Self::Disconnected { .. } => Self::Disconnected { sent },
+            Self::Deadline { .. } => Self::Deadline { sent },
+            other => other.clone(),
+        }
+    }
+}
+
+impl From<capnp::Error> for Error {
+    fn from(error: capnp::Error) -> Self {
+        match error.kind {
+            capnp::ErrorKind::Unimplemented => Self::Unsupported,
+            capnp::ErrorKind::Disconnected => Self::Disconnected { sent: true },
+            _ => Self::Failed(error.extra),
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift/src/peer/key.rs
@@ -0,0 +1,65 @@
+//! The fleet key, shared by all VMs of a fleet.
+
+use std::fmt;
+
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+use super::Error;
+
+/// Least length of a fleet key in bytes.
+const KEY_BYTES: usize = 16;
+
+/// Length of a full proof in bytes.
+pub const PROOF_BYTES: usize = 32;
+
+/// Key that proves membership of the fleet.
+#[derive(Clone)]
+pub struct FleetKey(Hmac<Sha256>);
+
+impl FleetKey {
+    /// Opens the key from the bytes in the settings.
+    pub fn open(bytes: &[u8]) -> Result<Self, Error> {
+        if bytes.len() < KEY_BYTES {
+            return Err(Error::WeakKey);
+        }
+        keyed(bytes).map(Self)
+    }
+
+    /// Derives the key for one use, so that a proof for one use is worthless for another.
+    pub fn derive(&self, purpose: &str) -> Result<Self, Error> {
+        keyed(&self.prove(&[purpose.as_bytes()])).map(Self)
+    }
+
+    /// Returns the proof over the parts.
+    #[must_use]
+    pub fn prove(&self, parts: &[&[u8]]) -> [u8; PROOF_BYTES] {
+        self.mac(parts).finalize().into_bytes().into()
+    }
+
+    /// Tells in constant time whether `proof`, which may be cut short, fits the parts.
+    #[must_use]
+    pub fn verify(&self, parts: &[&[u8]], proof: &[u8]) -> bool {
+        self.mac(parts).verify_truncated_left(proof).is_ok()
+    }
+
+    /// Hashes the parts, each after its length, so that bytes cannot move between parts.
+    fn mac(&self, parts: &[&[u8]]) -> Hmac<Sha256> {
+        let mut mac = self.0.clone();
+        for part in parts {
+            mac.update(&(part.len() as u64).to_le_bytes());
+            mac.update(part);
+        }
+        mac
+    }
+}
+
+impl fmt::Debug for FleetKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("FleetKey")
+    }
+}
+
+fn keyed(bytes: &[u8]) -> Result<Hmac<Sha256>, Error> {
+    Hmac::new_from_slice(bytes).ok().ok_or(Error::WeakKey)
+}
--- /dev/null
+++ b/chervildrift/src/peer/listener.rs
@@ -0,0 +1,129 @@
+//! Inbound connections.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::rc::Rc;
+
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use chervildrift_core::types::Vm;
+use tokio::net::TcpStream;
+use tokio::task::{AbortHandle, spawn_local};
+use tokio::time::{Instant, interval, timeout};
+
+use super::Error;
+use super::connection::Streams;
+use super::context::Context;
+use super::peer_capnp::peer::Client;
+use super::server::{Activity, Server};
+
+/// Connections that have not completed their hello, oldest first.
+#[derive(Debug, Default)]
+struct HalfOpen {
+    next: u64,
+    tasks: VecDeque<(u64, AbortHandle)>,
+}
+
+/// Takes inbound connections.
+#[derive(Debug)]
+pub struct Listener {
+    context: Rc<Context>,
+    half_open: Rc<RefCell<HalfOpen>>,
+}
+
+impl Listener {
+    /// Opens the listener's state.
+    pub fn open(context: &Rc<Context>) -> Self {
+        Self {
+            context: Rc::clone(context),
+            half_open: Rc::default(),
+        }
+    }
+
+    /// Serves a connection on a task of its own.
+    ///
+    /// When too many have not completed their hello, the oldest of them is closed: a member's
+    /// hello takes a few milliseconds, so a flood of silent connections rarely displaces one.
+    pub fn admit(&self, socket: TcpStream) {
+        let mut half_open = self.half_open.borrow_mut();
+        if half_open.tasks.len() >= self.context.limits.half_open
+            && let Some((_, task)) = half_open.tasks.pop_front()
+        {
+            task.abort();
+            self.context.counts.crowded.raise();
+        }
+        let number = half_open.next;
+        half_open.next += 1;
+        let task = spawn_local(serve(
+            Rc::clone(&self.context),
+            Rc::clone(&self.half_open),
+            number,
+            socket,
+        ));
+        half_open.tasks.push_back((number, task.abort_handle()));
+    }
+}
+
+/// Runs the hello and then the calls of one connection.
+async fn serve(
+    context: Rc<Context>,
+    half_open: Rc<RefCell<HalfOpen>>,
+    number: u64,
+    socket: TcpStream,
+) {
+    let result = timeout(context.limits.hello, hello(&context, socket)).await;
+    half_open
+        .borrow_mut()
+        .tasks
+        .retain(|(other, _)| *other != number);
+    match result {
+        Ok(Ok((streams, from))) => run(&context, streams, from).await,
+        Ok(Err(_)) => context.counts.foreign.raise(),
+        Err(_) => context.counts.late.raise(),
+    }
+}
+
+async fn hello(context: &Context, socket: TcpStream) -> Result<(Streams, Vm), Error> {
+    let mut streams = Streams::open(socket).map_err(|error| Error::Unreachable(error.kind()))?;
+    let from = context
+        .identity
+        .accept(&mut streams.reader, &mut streams.writer)
+        .await?;
+    Ok((streams, from))
+}
+
+/// Serves the calls of a connection until it ends, is idle or is to be closed.
+async fn run(context: &Rc<Context>, streams: Streams, from: Vm) {
+    context.counts.accepted.raise();
+    let activity = Rc::new(Activity {
+        calls: Cell::new(0),
+        last: Cell::new(Instant::now()),
+    });
+    let server = Server::open(context, from, &activity);
+    let client: Client = capnp_rpc::new_client(server);
+    let mut system = streams.start(Side::Server, Some(client.client));
+    let disconnector = system.get_disconnector();
+    let mut closing = context.closing.subscribe();
+    tokio::select! {
+        // The peer knows why its connection ended.
+        _ = &mut system => return,
+        _ = closing.wait_for(|closing| *closing) => {}
+        () = unused(context, &activity) => {}
+    }
+    // Writes the answers that are still queued before the socket is closed.
+    let (closed, _) = futures::join!(disconnector, system);
+    drop(closed);
+}
+
+/// Waits until the peer has made no call for twice the time after which it closes an idle link.
+///
+/// A peer that vanished without closing its connections leaves them behind.
+async fn unused(context: &Context, activity: &Activity) {
+    let limit = context.limits.idle * 2;
+    let mut ticks = interval(limit / 4);
+    loop {
+        ticks.tick().await;
+        if activity.calls.get() == 0 && activity.last.get().elapsed() >= limit {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift/src/peer/options.rs
@@ -0,0 +1,60 @@
+//! Options and limits of peer links.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervildrift_core::types::Vm;
+
+use super::FleetKey;
+
+/// Settings of the peer links of one VM.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Address to listen on; port 0 takes a free port.
+    pub address: SocketAddr,
+    /// Name of this VM.
+    pub name: Vm,
+    /// Key of the fleet.
+    pub key: FleetKey,
+    /// Limits of links and connections.
+    pub limits: Limits,
+}
+
+/// Limits of links and connections.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Calls in flight on one link.
+    pub calls: usize,
+    /// Time for the connection and the hello of an outgoing link.
+    pub opening: Duration,
+    /// Time for which a failed opening answers further calls.
+    pub refusal: Duration,
+    /// Time without a call after which an outgoing link is closed.
+    pub idle: Duration,
+    /// Time between pings while calls are in flight.
+    pub ping: Duration,
+    /// Age of an unanswered ping at which the peer counts as unresponsive.
+    pub silence: Duration,
+    /// Time for the hello of an inbound connection.
+    pub hello: Duration,
+    /// Inbound connections without a completed hello.
+    pub half_open: usize,
+    /// Version that this VM states in its hello.
+    pub version: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            calls: 4096,
+            opening: Duration::from_millis(600),
+            refusal: Duration::from_millis(100),
+            idle: Duration::from_secs(30),
+            ping: Duration::from_millis(200),
+            silence: Duration::from_millis(600),
+            hello: Duration::from_secs(1),
+            half_open: 256,
+            version: super::peer_capnp::VERSION,
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift/src/peer/server.rs
@@ -0,0 +1,252 @@
+//! Calls of a peer to this VM.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use capnp::Error;
+use chervildrift_core::types::Vm;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use super::connection::CONTENT_BYTES;
+use super::context::Context;
+use super::convert;
+use super::message::{Access, Inbound, Reply, Request, State};
+use super::peer_capnp::peer;
+
+/// Code of a read whose answer is larger than a link carries.
+const TOO_LARGE: &str = "answer_too_large";
+
+/// What one inbound connection may call.
+#[derive(Debug)]
+pub struct Server {
+    context: Rc<Context>,
+    from: Vm,
+    activity: Rc<Activity>,
+}
+
+/// Calls of one inbound connection.
+#[derive(Debug)]
+pub struct Activity {
+    /// Calls that wait for their answer.
+    pub calls: Cell<usize>,
+    /// Time of the last start or end of a call.
+    pub last: Cell<Instant>,
+}
+
+/// Counts a call while it waits for its answer.
+#[derive(Debug)]
+struct Serving<'a>(&'a Server);
+
+impl<'a> Serving<'a> {
+    fn open(server: &'a Server) -> Self {
+        server.context.serving.update(|calls| calls + 1);
+        server.activity.calls.update(|calls| calls + 1);
+        server.activity.last.set(Instant::now());
+        Self(server)
+    }
+}
+
+impl Drop for Serving<'_> {
+    fn drop(&mut self) {
+        self.0.context.serving.update(|calls| calls - 1);
+        self.0.activity.calls.update(|calls| calls - 1);
+        self.0.activity.last.set(Instant::now());
+    }
+}
+
+impl Server {
+    /// Opens the server of a connection from the VM `from`.
+    pub fn open(context: &Rc<Context>, from: Vm, activity: &Rc<Activity>) -> Self {
+        Self {
+            context: Rc::clone(context),
+            from,
+            activity: Rc::clone(activity),
+        }
+    }
+
+    /// Passes a call to the event loop; `None` means that it was refused unread.
+    async fn ask<T>(
+        &self,
+        make: impl FnOnce(oneshot::Sender<T>) -> Inbound,
+    ) -> Result<Option<T>, Error> {
+        if self.context.stopping.get() {
+            return Ok(self.refuse());
+        }
+        let (reply, answer) = oneshot::channel();
+        if self.context.inbound.try_send(make(reply)).is_err() {
+            return Ok(self.refuse());
+        }
+        let _serving = Serving::open(self);
+        match answer.await {
+            Ok(answer) => Ok(Some(answer)),
+            Err(_) => Err(Error::failed("the call was dropped".into())),
+        }
+    }
+
+    fn refuse<T>(&self) -> Option<T> {
+        self.context.counts.refused.raise();
+        None
+    }
+
+    /// Passes a ping to the event loop, behind the calls that wait there.
+    async fn ask_ping(&self) -> Result<super::message::Pong, Error> {
+        let (reply, answer) = oneshot::channel();
+        self.context
+            .inbound
+            .send(Inbound::Ping { reply })
+            .await
+            .ok()
+            .ok_or_else(stopped)?;
+        answer.await.ok().ok_or_else(stopped)
+    }
+}
+
+fn stopped() -> Error {
+    Error::failed("the event loop has stopped".into())
+}
+
+/// Replaces a reply that no link carries.
+fn bounded(reply: Reply, access: Access) -> Reply {
+    if reply.answer.len() <= CONTENT_BYTES {
+        return reply;
+    }
+    let state = match access {
+        Access::Write => State::Unknown,
+        Access::Read => State::Failed {
+            code: TOO_LARGE.into(),
+            message: "the answer is larger than a peer link carries".into(),
+        },
+    };
+    Reply {
+        state,
+        answer: Vec::new(),
+        ..reply
+    }
+}
+
+/// Decodes a request and keeps its access for the check of its answer.
+fn decode(request: super::peer_capnp::request::Reader<'_>) -> Result<(Request, Access), Error> {
+    let request = convert::read_request(request)?;
+    let access = request.access;
+    Ok((request, access))
+}
+
+impl peer::Server for Server {
+    async fn forward(
+        self: Rc<Self>,
+        params: peer::ForwardParams,
+        mut results: peer::ForwardResults,
+    ) -> Result<(), Error> {
+        let (request, access) = decode(params.get()?.get_request()?)?;
+        drop(params);
+        let reply = self
+            .ask(|reply| Inbound::Forward { request, reply })
+            .await?;
+        match reply {
+            None => results.get().set_refused(true),
+            Some(reply) => {
+                convert::write_reply(&bounded(reply, access), results.get().init_reply());
+            }
+        }
+        Ok(())
+    }
+
+    async fn transaction(
+        self: Rc<Self>,
+        params: peer::TransactionParams,
+        mut results: peer::TransactionResults,
+    ) -> Result<(), Error> {
+        let step = convert::step_in(params.get()?.get_step())?;
+        let (request, access) = decode(params.get()?.get_request()?)?;
+        drop(params);
+        let make = |reply| Inbound::Transaction {
+            step,
+            request,
+            reply,
+        };
+        match self.ask(make).await? {
+            None => results.get().set_refused(true),
+            Some(reply) => {
+                convert::write_reply(&bounded(reply, access), results.get().init_reply());
+            }
+        }
+        Ok(())
+    }
+
+    async fn group_state(
+        self: Rc<Self>,
+        params: peer::GroupStateParams,
+        mut results: peer::GroupStateResults,
+    ) -> Result<(), Error> {
+        let group = convert::read_group_id(params.get()?.get_group()?)?;
+        match self
+            .ask(|reply| Inbound::GroupState { group, reply })
+            .await?
+        {
+            None => results.get().set_refused(true),
+            Some(None) => {}
+            Some(Some(state)) => convert::write_group(&state, results.get().init_state()),
+        }
+        Ok(())
+    }
+
+    async fn bundle(
+        self: Rc<Self>,
+        params: peer::BundleParams,
+        mut results: peer::BundleResults,
+    ) -> Result<(), Error> {
+        let hash = params.get()?.get_hash()?.to_string()?;
+        match self.ask(|reply| Inbound::Bundle { hash, reply }).await? {
+            None => results.get().set_refused(true),
+            Some(Some(body)) if body.len() <= CONTENT_BYTES => {
+                results.get().set_found(true);
+                results.get().set_body(&body);
+            }
+            Some(_) => {}
+        }
+        Ok(())
+    }
+
+    async fn burn_delta(
+        self: Rc<Self>,
+        params: peer::BurnDeltaParams,
+        mut results: peer::BurnDeltaResults,
+    ) -> Result<(), Error> {
+        let from = self.from.clone();
+        let delta = params.get()?.get_delta()?.to_vec();
+        let make = |reply| Inbound::BurnDelta { from, delta, reply };
+        let taken = self.ask(make).await?;
+        results.get().set_refused(taken.is_none());
+        Ok(())
+    }
+
+    async fn handover(
+        self: Rc<Self>,
+        params: peer::HandoverParams,
+        mut results: peer::HandoverResults,
+    ) -> Result<(), Error> {
+        let from = self.from.clone();
+        let handover = convert::read_handover(params.get()?.get_handover()?)?;
+        let make = |reply| Inbound::Handover {
+            from,
+            handover,
+            reply,
+        };
+        match self.ask(make).await? {
+            None => results.get().set_refused(true),
+            Some(accepted) => results.get().set_accepted(accepted),
+        }
+        Ok(())
+    }
+
+    async fn ping(
+        self: Rc<Self>,
+        _params: peer::PingParams,
+        mut results: peer::PingResults,
+    ) -> Result<(), Error> {
+        let pong = self.ask_ping().await?;
+        convert::write_pong(pong, results.get().init_pong());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/chervildrift/src/peer/thread.rs
@@ -0,0 +1,190 @@
+//! The peer thread: owns all connections to and from peers.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{JoinSet, LocalSet};
+use tokio::time::{Instant, sleep, timeout_at};
+
+use super::Error;
+use super::call::Order;
+use super::context::Context;
+use super::link;
+use super::listener::Listener;
+
+/// Pause after a failed accept, which mostly means that no file descriptor is free.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time between two looks at the calls that a stop waits for.
+const STOP_POLL: Duration = Duration::from_millis(2);
+
+/// Time for writing the last answers of a stop.
+const FLUSH_TIME: Duration = Duration::from_millis(500);
+
+/// Commands taken at once.
+const BATCH: usize = 256;
+
+/// What a handle asks of the thread.
+#[derive(Debug)]
+#[expect(clippy::large_enum_variant, reason = "nearly all commands are calls")]
+pub enum Command {
+    /// Makes a call to a peer.
+    Call { peer: SocketAddr, order: Order },
+    /// Stops once the calls in flight are answered, at the latest after the grace time.
+    Stop {
+        grace: Duration,
+        done: oneshot::Sender<()>,
+    },
+}
+
+/// State of the peer thread.
+struct Peers {
+    context: Rc<Context>,
+    listener: Listener,
+    links: HashMap<SocketAddr, mpsc::Sender<Order>>,
+    tasks: JoinSet<()>,
+}
+
+/// Starts the thread.
+pub fn spawn(
+    make: impl FnOnce() -> Context + Send + 'static,
+    listener: std::net::TcpListener,
+    commands: mpsc::Receiver<Command>,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let listener = {
+        let _guard = runtime.enter();
+        TcpListener::from_std(listener)?
+    };
+    std::thread::Builder::new()
+        .name("peer".into())
+        .spawn(move || {
+            let peers = Peers::open(Rc::new(make()));
+            LocalSet::new().block_on(&runtime, peers.run(listener, commands));
+        })?;
+    Ok(())
+}
+
+impl Peers {
+    fn open(context: Rc<Context>) -> Self {
+        Self {
+            listener: Listener::open(&context),
+            context,
+            links: HashMap::new(),
+            tasks: JoinSet::new(),
+        }
+    }
+
+    /// Runs until a stop is asked for or all handles are dropped.
+    async fn run(mut self, listener: TcpListener, mut commands: mpsc::Receiver<Command>) {
+        let mut batch = Vec::with_capacity(BATCH);
+        loop {
+            tokio::select! {
+                count = commands.recv_many(&mut batch, BATCH) => {
+                    if count == 0 {
+                        return;
+                    }
+                    if let Some((grace, done)) = self.take(&mut batch) {
+                        drop(listener);
+                        return self.stop(&mut commands, grace, done).await;
+                    }
+                }
+                accepted = listener.accept() => self.accept(accepted).await,
+                Some(_) = self.tasks.join_next() => {}
+            }
+        }
+    }
+
+    /// Carries out commands up to a stop.
+    fn take(&mut self, batch: &mut Vec<Command>) -> Option<(Duration, oneshot::Sender<()>)> {
+        let mut stop = None;
+        for command in batch.drain(..) {
+            match command {
+                Command::Call { order, .. } if stop.is_some() => {
+                    order.fail(&Error::Stopped { sent: false });
+                }
+                Command::Call { peer, order } => self.call(peer, order),
+                Command::Stop { grace, done } => stop = Some((grace, done)),
+            }
+        }
+        stop
+    }
+
+    async fn accept(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
+        match accepted {
+            Ok((socket, _)) => self.listener.admit(socket),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+
+    /// Passes a call to the link of its peer, which is made if there is none.
+    fn call(&mut self, peer: SocketAddr, order: Order) {
+        let Some(link) = self.links.get(&peer) else {
+            return self.open_link(peer, order);
+        };
+        match link.try_send(order) {
+            Ok(()) => {}
+            Err(mpsc::error::TrySendError::Full(order)) => order.fail(&Error::Busy),
+            Err(mpsc::error::TrySendError::Closed(order)) => self.open_link(peer, order),
+        }
+    }
+
+    fn open_link(&mut self, peer: SocketAddr, order: Order) {
+        let (sender, orders) = mpsc::channel(self.context.limits.calls);
+        self.links.retain(|_, link| !link.is_closed());
+        self.tasks
+            .spawn_local(link::run(Rc::clone(&self.context), peer, orders));
+        // The queue is new and has room.
+        if let Err(error) = sender.try_send(order) {
+            error.into_inner().fail(&Error::Busy);
+        }
+        self.links.insert(peer, sender);
+    }
+
+    /// Waits for the calls in flight both ways, then closes all connections.
+    async fn stop(
+        mut self,
+        commands: &mut mpsc::Receiver<Command>,
+        grace: Duration,
+        done: oneshot::Sender<()>,
+    ) {
+        let limit = Instant::now() + grace;
+        self.context.stopping.set(true);
+        self.links.clear();
+        commands.close();
+        // An elapsed limit cuts the calls that are left.
+        let _ = timeout_at(limit, self.finish(commands)).await;
+        self.context.closing.send_replace(true);
+        let flush = Instant::now() + FLUSH_TIME;
+        let _ = timeout_at(flush, self.context.closing.closed()).await;
+        // Whoever asked may have stopped waiting.
+        let _ = done.send(());
+    }
+
+    /// Waits until no call is in flight either way.
+    async fn finish(&mut self, commands: &mut mpsc::Receiver<Command>) {
+        while let Some(command) = commands.recv().await {
+            refuse(command);
+        }
+        while self.tasks.join_next().await.is_some() {}
+        while self.context.serving.get() > 0 {
+            sleep(STOP_POLL).await;
+        }
+    }
+}
+
+/// Refuses a command that came after the stop.
+fn refuse(command: Command) {
+    match command {
+        Command::Call { order, .. } => order.fail(&Error::Stopped { sent: false }),
+        // The first stop is on its way; this one is over when the thread ends.
+        Command::Stop { done, .. } => drop(done),
+    }
+}
--- /dev/null
+++ b/chervildrift/tests/peer_forward.rs
@@ -0,0 +1,125 @@
+//! Calls over a healthy peer link.
+
+mod support;
+
+use std::time::Duration;
+
+use chervildrift::peer::message::{GroupState, Handover, Step, UpstreamState};
+use chervildrift::peer::{Error, Inbound, Reply, State};
+use chervildrift_core::types::{GroupId, Mark, Term};
+use support::{KEY, bind, caller, options, request, serve, within};
+
+/// Guards against a field of a request or reply that is lost or changed on the way.
+#[tokio::test]
+async fn every_field_arrives() {
+    let (server, mut inbound) = bind(options("server", KEY));
+    let sent = request("key-1");
+    let state = UpstreamState {
+        received: Mark::new(3, 10),
+        applied: Mark::new(3, 8),
+        age: Some(Duration::from_millis(70)),
+        load: [4, 5, 6],
+    };
+    let reply = Reply {
+        state: State::Failed {
+            code: "constraint".into(),
+            message: "duplicate".into(),
+        },
+        answer: b"[1]".to_vec(),
+        mark: Some(Mark::new(3, 10)),
+        group: Some(GroupState {
+            primary: Some(1),
+            term: Term(3),
+            upstreams: [UpstreamState::default(), state].into_iter().collect(),
+        }),
+        load: [7, 8, 9],
+        generation: 13,
+    };
+    let client = caller();
+    let call = client.forward(server.address(), sent.clone(), within(1000));
+    let serve = async {
+        let Some(Inbound::Forward { request, reply: to }) = inbound.recv().await else {
+            panic!("another call");
+        };
+        to.send(reply.clone()).unwrap();
+        request
+    };
+    let (answer, mut received) = tokio::join!(call, serve);
+    assert_eq!(answer.unwrap(), reply);
+    assert!(received.remaining > Duration::from_millis(500));
+    received.remaining = sent.remaining;
+    assert_eq!(received, sent);
+}
+
+/// Guards against a call that is mixed up with another or not served at all.
+#[tokio::test]
+async fn other_calls() {
+    let server = serve("server");
+    let client = caller();
+    let to = server.address();
+    let group = GroupId {
+        service: "ring-ledger".into(),
+        instance: "1".into(),
+    };
+    let handover = Handover {
+        group: group.clone(),
+        upstream: "ring-1-a".into(),
+        generation: 4,
+        state: b"{}".to_vec(),
+    };
+    let reply = client.transaction(to, Step::Commit, request("k"), within(1000));
+    assert_eq!(reply.await.unwrap().state, State::Done);
+    let state = client.group_state(to, group, within(1000)).await;
+    assert_eq!(state.unwrap(), None);
+    let body = client.bundle(to, "ab12".into(), within(1000)).await;
+    assert_eq!(body.unwrap().unwrap(), b"ab12");
+    client.burn_delta(to, vec![1], within(1000)).await.unwrap();
+    assert!(client.handover(to, handover, within(1000)).await.unwrap());
+    client.ping(to, within(1000)).await.unwrap();
+    assert_eq!(client.counts().opened.get(), 1);
+}
+
+/// Guards against calls that outlive their caller or their deadline.
+#[tokio::test]
+async fn dropped_calls() {
+    let (server, mut inbound) = bind(options("server", KEY));
+    let client = caller();
+    let call = client.forward(server.address(), request("late"), within(100));
+    let late = call.await.unwrap_err();
+    assert_eq!(late, Error::Deadline { sent: true });
+    let call = client.forward(server.address(), request("left"), within(10_000));
+    let left = tokio::time::timeout(Duration::from_millis(100), call).await;
+    left.unwrap_err();
+    for _ in 0..2 {
+        let Some(Inbound::Forward { mut reply, .. }) = inbound.recv().await else {
+            panic!("another call");
+        };
+        let closed = tokio::time::timeout(Duration::from_secs(1), reply.closed());
+        closed.await.expect("the server still works for nobody");
+    }
+}
+
+/// Guards against a stop that cuts a call in flight, and against calls after it.
+#[tokio::test]
+async fn orderly_stop() {
+    let (server, mut inbound) = bind(options("server", KEY));
+    let client = caller();
+    let to = server.address();
+    let call = client.forward(to, request("k"), within(2000));
+    let stop = async {
+        let Some(Inbound::Forward { request, reply }) = inbound.recv().await else {
+            panic!("another call");
+        };
+        let clone = server.clone();
+        let stopped = tokio::spawn(async move { clone.stop(Duration::from_secs(1)).await });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        reply.send(support::done(&request)).unwrap();
+        stopped.await.unwrap();
+    };
+    let (answer, ()) = tokio::join!(call, stop);
+    assert_eq!(answer.unwrap().state, State::Done);
+    let after = client.forward(to, request("k"), within(1000)).await;
+    assert!(!after.unwrap_err().sent());
+    let own = server.ping(to, within(1000)).await;
+    assert_eq!(own.unwrap_err(), Error::Stopped { sent: false });
+}
