--- a/chervildrift/src/http/body.rs
+++ b/chervildrift/src/http/body.rs
@@ -8,7 +8,7 @@
 use tokio::time::timeout;
 use xitca_web::body::{BodyExt, RequestBody};
 
-use crate::peer::Statement;
+use crate::peer::message::Statement;
 use crate::work::{Problem, ProblemKind, check_statement};
 
 /// Largest body of a request, in bytes.
--- a/chervildrift/src/work/mod.rs
+++ b/chervildrift/src/work/mod.rs
@@ -45,7 +45,7 @@
         /// Transaction.
         transaction: String,
         /// Statements.
-        statements: Vec<crate::peer::Statement>,
+        statements: Vec<crate::peer::message::Statement>,
     },
     /// Commit a transaction.
     Commit {
@@ -74,7 +74,7 @@
     /// Key that picks the instance.
     pub key: String,
     /// Statements in the order in which they run.
-    pub statements: Vec<crate::peer::Statement>,
+    pub statements: Vec<crate::peer::message::Statement>,
     /// Greatest age of data, if the caller wants it fresher than its kind allows.
     pub max_age: Option<Duration>,
     /// Deadline, if the caller wants it sooner than its kind's.
