--- /dev/null
+++ b/chervildrift/src/serve/group.rs
@@ -0,0 +1,246 @@
+//! A database group that this VM observes, and the writes that wait for its confirmation.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervildrift_core::config::GroupSpec;
+use chervildrift_core::failover::{self, Action, Actions, Coordinator, Event, Promoter};
+use chervildrift_core::group::{Confirmation, GroupView};
+use chervildrift_core::rng::Rng;
+use chervildrift_core::types::{GroupId, Mark, Term, Time, Upstream};
+use smallvec::SmallVec;
+use tokio::runtime;
+use tokio::sync::mpsc::UnboundedSender;
+
+use super::Input;
+use super::clock::Clock;
+use super::dispatcher::ReplyTo;
+use crate::peer::message::{GroupState, UpstreamState};
+use crate::peer::Reply;
+use crate::upstream::{Control, Login, Vote};
+
+/// Time limit of a status read or an order, below the detection time of a lost primary.
+const CONTROL_LIMIT: Duration = Duration::from_millis(250);
+
+/// Pause between two reads for a write that a slow replica has not received yet.
+const CONFIRM_PAUSE: Duration = Duration::from_millis(2);
+
+/// A write that waits until a majority is seen to have received it.
+#[derive(derive_more::Debug)]
+pub(super) struct Unconfirmed {
+    pub mark: Mark,
+    /// Time at which the upstream's answer was taken.
+    pub since: Time,
+    pub deadline: Time,
+    /// Reply to send when the write is confirmed.
+    pub success: Reply,
+    #[debug("..")]
+    pub reply: ReplyTo,
+}
+
+/// A group that this VM observes.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub id: GroupId,
+    pub spec: GroupSpec,
+    pub coordinator: Coordinator,
+    pub unconfirmed: Vec<Unconfirmed>,
+    /// Primary at the last change.
+    pub primary: Option<(usize, Term)>,
+    controls: Vec<Arc<Control>>,
+    reading: SmallVec<[bool; 3]>,
+}
+
+/// What an action needs to run outside the event loop.
+#[derive(Debug)]
+pub(super) struct Outside<'a> {
+    pub io: &'a runtime::Handle,
+    pub clock: Clock,
+    pub inputs: &'a UnboundedSender<Input>,
+}
+
+impl Group {
+    /// Opens the observer of a group.
+    pub(super) fn open(
+        id: GroupId,
+        spec: &GroupSpec,
+        promoter: Promoter,
+        rank: u32,
+        seed: u64,
+        login: &Login,
+    ) -> Self {
+        let names: Vec<Upstream> = spec.upstreams.iter().map(|it| it.name.clone()).collect();
+        let view = GroupView::open(&names);
+        let limits = failover::Limits::default();
+        let coordinator = Coordinator::open(view, promoter, rank, Rng::open(seed), limits);
+        let control = |address| Arc::new(Control::open(address, login, CONTROL_LIMIT));
+        Self {
+            id,
+            spec: spec.clone(),
+            coordinator,
+            unconfirmed: Vec::new(),
+            primary: None,
+            controls: spec.upstreams.iter().map(|it| control(it.address)).collect(),
+            reading: SmallVec::from_elem(false, names.len()),
+        }
+    }
+
+    /// Tells the coordinator of an event and starts what it asks for.
+    ///
+    /// Returns the orders that concern the queues of the dispatchers.
+    pub(super) fn handle(
+        &mut self,
+        now: Time,
+        event: Event,
+        outside: &Outside<'_>,
+    ) -> SmallVec<[Action; 1]> {
+        if let Event::Observed { index, .. } = event
+            && let Some(reading) = self.reading.get_mut(index)
+        {
+            *reading = false;
+        }
+        let actions = self.coordinator.handle(now, event);
+        self.start(actions, outside)
+    }
+
+    fn start(&mut self, actions: Actions, outside: &Outside<'_>) -> SmallVec<[Action; 1]> {
+        let mut rest = SmallVec::new();
+        for action in actions {
+            match action {
+                Action::ReadStatus { index } => self.read(index, Duration::ZERO, outside),
+                Action::Fence { index, term } => self.fence(index, term, outside),
+                Action::Promote { index, term } => self.promote(index, term, outside),
+                Action::Follow { index, primary, term } => {
+                    self.follow(index, primary, term, outside);
+                }
+                Action::Hold | Action::Resume => rest.push(action),
+            }
+        }
+        rest
+    }
+
+    /// Reads the status of an upstream unless a read of it is under way.
+    fn read(&mut self, index: usize, pause: Duration, outside: &Outside<'_>) {
+        let Some(control) = self.controls.get(index).map(Arc::clone) else { return };
+        if std::mem::replace(&mut self.reading[index], true) {
+            return;
+        }
+        let (group, clock, inputs) = (self.id.clone(), outside.clock, outside.inputs.clone());
+        outside.io.spawn(async move {
+            if !pause.is_zero() {
+                tokio::time::sleep(pause).await;
+            }
+            let sent = clock.now();
+            let status = control.status().await.ok();
+            // The event loop has ended if nobody takes the answer.
+            let _ended = inputs.send(Input::Group(group, Event::Observed { index, sent, status }));
+        });
+    }
+
+    fn fence(&self, index: usize, term: Term, outside: &Outside<'_>) {
+        let promoter = self.coordinator.promoter().clone();
+        self.order(index, outside, async move |control| {
+            let vote = control.fence(term, promoter.as_str()).await.ok();
+            Some(Event::Fenced { index, term, answer: vote.map(answer) })
+        });
+    }
+
+    fn promote(&self, index: usize, term: Term, outside: &Outside<'_>) {
+        let promoter = self.coordinator.promoter().clone();
+        self.order(index, outside, async move |control| {
+            let vote = control.promote(term, promoter.as_str()).await.ok();
+            Some(Event::Promoted { index, term, answer: vote.map(answer) })
+        });
+    }
+
+    fn follow(&self, index: usize, primary: usize, term: Term, outside: &Outside<'_>) {
+        let Some(address) = self.address(primary) else { return };
+        self.order(index, outside, async move |control| {
+            // The next status read shows whether the upstream follows.
+            let _result = control.follow(address, term).await;
+            None
+        });
+    }
+
+    fn order<F>(&self, index: usize, outside: &Outside<'_>, run: F)
+    where
+        F: AsyncFnOnce(Arc<Control>) -> Option<Event> + Send + 'static,
+        for<'a> F::CallOnceFuture: Send,
+    {
+        let Some(control) = self.controls.get(index).map(Arc::clone) else { return };
+        let (group, inputs) = (self.id.clone(), outside.inputs.clone());
+        outside.io.spawn(async move {
+            if let Some(event) = run(control).await {
+                let _ended = inputs.send(Input::Group(group, event));
+            }
+        });
+    }
+
+    fn address(&self, index: usize) -> Option<SocketAddr> {
+        self.spec.upstreams.get(index).map(|it| it.address)
+    }
+
+    /// Reads the statuses that the waiting writes need.
+    pub(super) fn seek_confirmation(&mut self, now: Time, outside: &Outside<'_>) {
+        let Some(oldest) = self.unconfirmed.first() else { return };
+        let patient = now.since(oldest.since) > CONFIRM_PAUSE;
+        let pause = if patient { CONFIRM_PAUSE } else { Duration::ZERO };
+        for index in 0..self.controls.len() {
+            self.read(index, pause, outside);
+        }
+    }
+
+    /// Takes out the writes whose wait is over, with what became of them.
+    pub(super) fn confirmations(&mut self, now: Time) -> Vec<(Confirmation, Unconfirmed)> {
+        let view = self.coordinator.view();
+        let mut ended = Vec::new();
+        let mut rest = Vec::with_capacity(self.unconfirmed.len());
+        for write in self.unconfirmed.drain(..) {
+            match view.check(write.mark, write.since) {
+                Confirmation::Waiting if write.deadline > now => rest.push(write),
+                outcome => ended.push((outcome, write)),
+            }
+        }
+        self.unconfirmed = rest;
+        ended
+    }
+
+    /// Returns the primary and its term if they changed since the last call.
+    pub(super) fn changed_primary(&mut self) -> Option<(usize, Term)> {
+        let view = self.coordinator.view();
+        let current = view.primary().map(|index| (index, view.term()));
+        if current.is_none() || current == self.primary {
+            return None;
+        }
+        self.primary = current;
+        current
+    }
+
+    /// Returns the state that replies carry to the entries.
+    pub(super) fn state(&self, now: Time) -> GroupState {
+        let view = self.coordinator.view();
+        let upstream = |index| {
+            let status = view.status(index);
+            UpstreamState {
+                received: status.map(|it| it.received).unwrap_or_default(),
+                applied: status.map(|it| it.applied).unwrap_or_default(),
+                age: view.age(now, index),
+                load: Default::default(),
+            }
+        };
+        GroupState {
+            primary: view.primary().map(|index| index as u32),
+            term: view.term(),
+            upstreams: (0..view.len()).map(upstream).collect(),
+        }
+    }
+}
+
+fn answer(vote: Vote) -> failover::Answer {
+    if vote.granted {
+        failover::Answer::Granted { received: vote.received }
+    } else {
+        failover::Answer::Refused { fenced: vote.fenced }
+    }
+}
--- a/chervildrift/src/upstream/error.rs
+++ b/chervildrift/src/upstream/error.rs
@@ -43,10 +43,6 @@
         KeyReused {
             display("the idempotency key was used for other statements")
         }
-        /// The request was cancelled under its idempotency key.
-        Cancelled {
-            display("the request was cancelled under its idempotency key")
-        }
     }
 }
 
--- a/chervildrift/src/upstream/mod.rs
+++ b/chervildrift/src/upstream/mod.rs
@@ -18,4 +18,4 @@
 pub use self::pool::{Lease, Pool};
 pub use self::read::{Read, read};
 pub use self::value::Statement;
-pub use self::write::{Record, Settled, Written, begin, commit, execute, rollback, settle, write};
+pub use self::write::{Record, Settled, Written, commit, execute, open, rollback, settle, write};
--- a/chervildrift/src/upstream/write.rs
+++ b/chervildrift/src/upstream/write.rs
@@ -27,8 +27,8 @@
     pub mark: Mark,
     /// Results of the statements as JSON text.
     pub answer: String,
-    /// Whether the answer comes from the record of an earlier try.
-    pub repeated: bool,
+    /// Whether the key holds a cancel record, so that the request never runs.
+    pub cancelled: bool,
 }
 
 /// Where a write failed.
@@ -61,7 +61,7 @@
 }
 
 /// Begins a transaction and returns the status of the upstream, which must be the primary.
-pub async fn begin(lease: &Lease) -> Result<Status, Error> {
+async fn begin(lease: &Lease) -> Result<Status, Error> {
     let (begun, status) = pipeline(lease.command(sql::BEGIN), lease.status()).await;
     begun?;
     let status = status?;
@@ -72,6 +72,17 @@
     }
 }
 
+/// Begins a transaction of several requests, with its record if it has one.
+pub async fn open(lease: &Lease, record: Option<&Record>) -> Result<Status, Error> {
+    let opened = begin(lease).await?;
+    if let Some(record) = record
+        && !insert_record(lease, record, "running").await?
+    {
+        return Err(Error::KeyReused);
+    }
+    Ok(opened)
+}
+
 /// Runs statements inside an open transaction.
 pub async fn execute(lease: &Lease, statements: &[Statement]) -> Result<Vec<Value>, Error> {
     let results = join_all(statements.iter().map(|it| lease.run(it))).await;
@@ -122,7 +133,7 @@
         Err(err) => return Settled::RolledBack(err),
     };
     match insert_record(&lease, record, "cancelled").await {
-        Ok(true) => commit(lease, None, opened, &[]).await,
+        Ok(true) => cancelled(commit(lease, None, opened, &[]).await),
         Ok(false) => recorded(lease, record, opened).await,
         Err(err) => Settled::RolledBack(err),
     }
@@ -143,7 +154,14 @@
     }
 }
 
-fn acknowledgeable(opened: Status, now: Status, answer: String, repeated: bool) -> Settled {
+fn cancelled(settled: Settled) -> Settled {
+    match settled {
+        Settled::Written(written) => Settled::Written(Written { cancelled: true, ..written }),
+        other => other,
+    }
+}
+
+fn acknowledgeable(opened: Status, now: Status, answer: String, cancelled: bool) -> Settled {
     let same_term = now.received.term == opened.received.term;
     if now.role == Role::Primary && same_term {
         Settled::Written(Written {
@@ -211,14 +229,16 @@
     state: &str,
     answer: String,
 ) -> Settled {
+    // A cancel record counts only once it is confirmed: one that is lost at a failover would let
+    // the request run after all.
     if state == "cancelled" {
-        return Settled::RolledBack(Error::Cancelled);
+        return acknowledgeable(opened, status, answer, true);
     }
     // A request that asks for an outcome states no digest.
     if !record.digest.is_empty() && digest != record.digest {
         return Settled::RolledBack(Error::KeyReused);
     }
-    acknowledgeable(opened, status, answer, true)
+    acknowledgeable(opened, status, answer, false)
 }
 
 fn wall_clock_ms() -> i64 {
--- a/chervildrift/src/work/mod.rs
+++ b/chervildrift/src/work/mod.rs
@@ -1,6 +1,7 @@
 //! A caller's request and its answer inside one VM.
 
 mod problem;
+mod reason;
 mod statement;
 
 use std::time::{Duration, Instant};
@@ -9,6 +10,7 @@
 use derive_more::Display;
 
 pub use self::problem::{Problem, ProblemKind, State};
+pub use self::reason::Reason;
 pub use self::statement::check_statement;
 
 /// Identifier of a request in logs and traces.
