Add the upstream stand-in: first usable stand-in

Cause: the program needs upstreams with terms, a log, fencing and replication to be built against; no database server may be used. Ruled out: SQLite's shared cache and its memory VFS, because a reader is refused while a writer has an open transaction; session changesets, because they leave out schema changes. Charging the statement time inside a write transaction, because the one writer would then set the capacity, not the slots. Before: an empty crate. Conclusion: usable by others. The faults have no tests yet, and the platform stand-in is missing.

--- /dev/null
+++ b/chervildrift_standin/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! Platform stand-in: table service, object store and list of VMs over HTTP.
--- /dev/null
+++ b/chervildrift_standin/src/upstream/database.rs
@@ -0,0 +1,170 @@
+//! One `SQLite` database in memory.
+
+use std::collections::HashMap;
+
+use pgwire::api::Type;
+use rusqlite::Connection;
+
+use super::error::SqlError;
+use super::infer;
+use super::log::Statement;
+use super::sql::Command;
+use super::value::{Value, named_type};
+
+/// Statements kept prepared on each database.
+const STATEMENT_CACHE: usize = 256;
+
+/// Schema that every upstream starts with; it is not part of the log.
+const SCHEMA: &str = "
+    PRAGMA foreign_keys = ON;
+    PRAGMA case_sensitive_like = ON;
+    CREATE TABLE chervildrift_outcome (
+        key text PRIMARY KEY NOT NULL,
+        digest text NOT NULL,
+        state text NOT NULL,
+        answer text,
+        made_ms bigint NOT NULL
+    );
+";
+
+/// Result column of a statement.
+#[derive(Clone, Debug)]
+pub(super) struct Column {
+    pub name: String,
+    pub typ: Type,
+}
+
+/// Parameter types and result columns of a statement.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Description {
+    pub params: Vec<Type>,
+    pub columns: Vec<Column>,
+}
+
+/// Rows of a statement, or the number of rows that it changed.
+#[derive(Debug, Default)]
+pub(super) struct Outcome {
+    /// Whether the statement returns rows.
+    pub columns: bool,
+    pub rows: Vec<Vec<Value>>,
+    pub changed: usize,
+}
+
+/// Types of all columns by table name.
+pub(super) type Schema = HashMap<String, Vec<(String, Type)>>;
+
+/// Database with its own connection, which one thread uses at a time.
+#[derive(Debug)]
+pub(super) struct Database {
+    connection: Connection,
+}
+
+impl Database {
+    /// Opens an empty database with the schema that every upstream has.
+    pub fn open() -> Result<Self, rusqlite::Error> {
+        let connection = Connection::open_in_memory()?;
+        connection.set_prepared_statement_cache_capacity(STATEMENT_CACHE);
+        connection.execute_batch(SCHEMA)?;
+        Ok(Self { connection })
+    }
+
+    /// Runs a statement without parameters and rows.
+    pub fn run(&self, sql: &str) -> Result<(), SqlError> {
+        self.connection.prepare_cached(sql)?.raw_execute()?;
+        Ok(())
+    }
+
+    /// Tells whether a statement changes the database.
+    pub fn writes(&self, sql: &str) -> Result<bool, SqlError> {
+        Ok(!self.connection.prepare_cached(sql)?.readonly())
+    }
+
+    /// Runs one statement and collects all its rows.
+    pub fn execute(&self, sql: &str, params: &[Value]) -> Result<Outcome, SqlError> {
+        let mut statement = self.connection.prepare_cached(sql)?;
+        for index in 1..=statement.parameter_count() {
+            let number = statement.parameter_name(index).and_then(param_number);
+            let value = number.and_then(|number| params.get(number - 1));
+            statement.raw_bind_parameter(index, value.unwrap_or(&Value::Null))?;
+        }
+        let columns = statement.column_count();
+        if columns == 0 {
+            let changed = statement.raw_execute()?;
+            return Ok(Outcome {
+                changed,
+                ..Outcome::default()
+            });
+        }
+        let mut rows = Vec::new();
+        let mut cursor = statement.raw_query();
+        while let Some(row) = cursor.next()? {
+            let values = (0..columns).map(|index| row.get_ref(index).map(Value::from));
+            rows.push(values.collect::<Result<Vec<_>, _>>()?);
+        }
+        let changed = rows.len();
+        Ok(Outcome {
+            columns: true,
+            rows,
+            changed,
+        })
+    }
+
+    /// Applies the statements of one log entry in a transaction.
+    pub fn apply(&self, statements: &[Statement]) -> Result<(), SqlError> {
+        if statements.is_empty() {
+            return Ok(());
+        }
+        self.run("BEGIN")?;
+        let applied = self.run_all(statements);
+        if applied.is_err() {
+            self.run("ROLLBACK")?;
+        }
+        applied
+    }
+
+    fn run_all(&self, statements: &[Statement]) -> Result<(), SqlError> {
+        for statement in statements {
+            self.execute(&statement.sql, &statement.params)?;
+        }
+        self.run("COMMIT")
+    }
+
+    /// Finds the parameter types and result columns of a statement.
+    pub fn describe(&self, command: &Command) -> Result<Description, SqlError> {
+        let statement = self.connection.prepare_cached(&command.sql)?;
+        let schema = self.schema()?;
+        let mut columns = Vec::with_capacity(statement.column_count());
+        for (index, column) in statement.columns().enumerate() {
+            let typ = match column.decl_type() {
+                Some(declared) => named_type(declared),
+                None => infer::column(&command.text, index, column.name(), &schema),
+            };
+            let name = infer::column_name(column.name());
+            columns.push(Column { name, typ });
+        }
+        Ok(Description {
+            params: infer::params(&command.text, &schema),
+            columns,
+        })
+    }
+
+    fn schema(&self) -> Result<Schema, SqlError> {
+        const SQL: &str = "SELECT t.name, c.name, c.type FROM sqlite_schema t, \
+            pragma_table_info(t.name) c WHERE t.type = 'table' ORDER BY t.name, c.cid";
+        let mut schema = Schema::new();
+        for row in self.execute(SQL, &[])?.rows {
+            let mut texts = row.iter().map(|value| value.to_text().unwrap_or_default());
+            let mut next = || texts.next().unwrap_or_default();
+            let table = next().to_ascii_lowercase();
+            let column = next().to_ascii_lowercase();
+            let typ = named_type(&next());
+            schema.entry(table).or_default().push((column, typ));
+        }
+        Ok(schema)
+    }
+}
+
+/// Returns n of a parameter named `$n`.
+fn param_number(name: &str) -> Option<usize> {
+    name.strip_prefix('$')?.parse().ok().filter(|n| *n > 0)
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/infer.rs
@@ -0,0 +1,216 @@
+//! Infers `PostgreSQL` types that `SQLite` does not know: of parameters and of computed columns.
+//!
+//! The rules cover the statements of the proxy and of usual tests. Anything else is text; a cast
+//! such as `$1::int8` or `sum(a)::int8` settles the type.
+
+use pgwire::api::Type;
+
+use super::database::Schema;
+use super::sql::depth_change;
+use super::tokens::{Kind, Token, tokens};
+use super::value::named_type;
+
+/// Signs and keywords between two operands of the same type.
+const OPERATORS: [&str; 12] = [
+    "=", "<", ">", "<=", ">=", "<>", "!=", "+", "-", "*", "like", "||",
+];
+
+/// Returns the name that `PostgreSQL` gives to a result column.
+pub(super) fn column_name(name: &str) -> String {
+    let function = name.split_once('(').map(|(function, _)| function.trim());
+    match function {
+        Some(function) if !function.is_empty() => function.to_ascii_lowercase(),
+        _ => name.to_owned(),
+    }
+}
+
+/// Infers the types of a statement's parameters, in the order of their numbers.
+pub(super) fn params(sql: &str, schema: &Schema) -> Vec<Type> {
+    let found = tokens(sql);
+    let mut types = Vec::new();
+    for (index, token) in found.iter().enumerate() {
+        let Kind::Param(number) = token.kind else {
+            continue;
+        };
+        if types.len() < number {
+            types.resize(number, None);
+        }
+        if types[number - 1].is_none() {
+            types[number - 1] = param(&found, index, schema);
+        }
+    }
+    let text = |typ: Option<Type>| typ.unwrap_or(Type::TEXT);
+    types.into_iter().map(text).collect()
+}
+
+fn param(found: &[Token<'_>], index: usize, schema: &Schema) -> Option<Type> {
+    cast_after(found, index)
+        .or_else(|| inserted(found, index, schema))
+        .or_else(|| limit(found, index))
+        .or_else(|| compared(found, index, schema))
+        .or_else(|| listed(found, index, schema))
+}
+
+/// Type of a cast `::type` after a token.
+fn cast_after(found: &[Token<'_>], index: usize) -> Option<Type> {
+    let cast = found.get(index + 1)?.is("::");
+    let name = found.get(index + 2)?;
+    cast.then(|| named_type(name.text))
+}
+
+/// Type of the column that an INSERT puts a parameter into.
+fn inserted(found: &[Token<'_>], index: usize, schema: &Schema) -> Option<Type> {
+    let into = found.iter().position(|token| token.is("into"))?;
+    let values = found.iter().position(|token| token.is("values"))?;
+    let conflict = found.iter().position(|token| token.is("conflict"));
+    if index < values || conflict.is_some_and(|conflict| index > conflict) {
+        return None;
+    }
+    let columns = schema.get(&found.get(into + 1)?.name())?;
+    let open = (values..index).rev().find(|&at| found[at].is("("))?;
+    let place = (open..index).filter(|&at| found[at].is(",")).count();
+    let names: Vec<_> = found[into + 2..values]
+        .iter()
+        .filter(|token| token.kind == Kind::Word)
+        .map(Token::name)
+        .collect();
+    if names.is_empty() {
+        return columns.get(place).map(|(_, typ)| typ.clone());
+    }
+    let name = names.get(place)?;
+    columns
+        .iter()
+        .find(|(column, _)| column == name)
+        .map(|(_, typ)| typ.clone())
+}
+
+fn limit(found: &[Token<'_>], index: usize) -> Option<Type> {
+    let before = found.get(index.checked_sub(1)?)?;
+    (before.is("limit") || before.is("offset")).then_some(Type::INT8)
+}
+
+/// Type of the operand on the other side of an operator.
+fn compared(found: &[Token<'_>], index: usize, schema: &Schema) -> Option<Type> {
+    let operator = |at: usize| {
+        let token = found.get(at)?;
+        OPERATORS.iter().any(|sign| token.is(sign)).then_some(())
+    };
+    let left = || {
+        operator(index.checked_sub(1)?)?;
+        operand(found.get(index.checked_sub(2)?)?, schema)
+    };
+    let right = || {
+        operator(index + 1)?;
+        let qualified = found.get(index + 3).is_some_and(|token| token.is("."));
+        operand(found.get(index + if qualified { 4 } else { 2 })?, schema)
+    };
+    left().or_else(right)
+}
+
+/// Type of the column before IN, BETWEEN or a function's bracket.
+fn listed(found: &[Token<'_>], index: usize, schema: &Schema) -> Option<Type> {
+    let keyword = (0..index)
+        .rev()
+        .take_while(|&at| !found[at].is("where") && !found[at].is("set"))
+        .find(|&at| found[at].is("in") || found[at].is("between"))?;
+    operand(found.get(keyword.checked_sub(1)?)?, schema)
+}
+
+fn operand(token: &Token<'_>, schema: &Schema) -> Option<Type> {
+    match token.kind {
+        Kind::Word => column_type(&token.name(), schema),
+        Kind::Literal if token.text.starts_with('\'') => Some(Type::TEXT),
+        Kind::Literal => Some(Type::INT4),
+        Kind::Param(_) | Kind::Sign => None,
+    }
+}
+
+/// Type of the column of this name in any table.
+fn column_type(name: &str, schema: &Schema) -> Option<Type> {
+    let mut columns = schema.values().flatten();
+    let found = columns.find(|(column, _)| column == name);
+    found.map(|(_, typ)| typ.clone())
+}
+
+/// Infers the type of a computed result column.
+pub(super) fn column(sql: &str, index: usize, name: &str, schema: &Schema) -> Type {
+    let found = tokens(sql);
+    let item = item(&found, index).unwrap_or_default();
+    let item = if item.is_empty() { tokens(name) } else { item };
+    expression(&item, schema)
+}
+
+fn expression(item: &[Token<'_>], schema: &Schema) -> Type {
+    let Some(first) = item.first() else {
+        return Type::TEXT;
+    };
+    if let Some(cast) = cast_type(item) {
+        return cast;
+    }
+    match first.name().as_str() {
+        "count" | "length" | "row_number" | "rank" => return Type::INT8,
+        "exists" | "not" | "true" | "false" => return Type::BOOL,
+        "avg" => return Type::FLOAT8,
+        _ => {}
+    }
+    let compares =
+        |token: &Token<'_>| ["=", "<", ">", "<=", ">=", "<>", "!="].contains(&token.text);
+    if item.iter().any(compares) && !first.is("case") {
+        return Type::BOOL;
+    }
+    let mut known = item.iter().filter(|token| token.kind == Kind::Word);
+    let typ = known
+        .find_map(|token| column_type(&token.name(), schema))
+        .or_else(|| item.iter().find_map(literal_type));
+    match typ {
+        Some(Type::INT4) if first.is("sum") => Type::INT8,
+        Some(typ) => typ,
+        None => Type::TEXT,
+    }
+}
+
+/// Type of `CAST(x AS type)` or of a last `x::type`.
+fn cast_type(item: &[Token<'_>]) -> Option<Type> {
+    if let Some(at) = item.iter().rposition(|token| token.is("::")) {
+        return cast_after(item, at - usize::from(at > 0));
+    }
+    let [first, .., typ, _] = item else {
+        return None;
+    };
+    first.is("cast").then(|| named_type(typ.text))
+}
+
+fn literal_type(token: &Token<'_>) -> Option<Type> {
+    match token.kind {
+        Kind::Literal if token.text.starts_with('\'') => Some(Type::TEXT),
+        Kind::Literal if token.text.contains('.') => Some(Type::FLOAT8),
+        Kind::Literal => Some(Type::INT4),
+        _ => None,
+    }
+}
+
+/// Tokens of one item of the select or RETURNING list; none if a `*` stands before it.
+fn item<'a>(found: &[Token<'a>], index: usize) -> Option<Vec<Token<'a>>> {
+    let start = found
+        .iter()
+        .position(|token| token.is("returning"))
+        .or_else(|| found.iter().position(|token| token.is("select")))?;
+    let mut depth = 0;
+    let mut items = vec![Vec::new()];
+    for token in &found[start + 1..] {
+        depth += depth_change(token);
+        if depth < 0 || (depth == 0 && token.is("from")) {
+            break;
+        }
+        if depth == 0 && token.is(",") {
+            items.push(Vec::new());
+        } else if let Some(last) = items.last_mut() {
+            last.push(*token);
+        }
+    }
+    let star = |item: &Vec<Token<'_>>| item.last().is_some_and(|token| token.is("*"));
+    if items.iter().take(index + 1).any(star) {
+        return None;
+    }
+    items.into_iter().nth(index)
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/log.rs
@@ -0,0 +1,115 @@
+//! Log of committed write statements, matched as in Raft.
+
+use serde::{Deserialize, Serialize};
+
+use super::value::Value;
+
+/// Term and position of a log entry; zero in both parts stands before the first entry.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Mark {
+    /// Term of the primary that wrote the entry.
+    pub term: i64,
+    /// Index of the entry, counted from 1.
+    pub position: i64,
+}
+
+/// One write statement with its parameters.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(super) struct Statement {
+    pub sql: String,
+    pub params: Vec<Value>,
+}
+
+/// One committed transaction; the entry of a promotion has no statements.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Entry {
+    pub mark: Mark,
+    pub statements: Vec<Statement>,
+}
+
+/// Entries from position 1 on, without gaps and with terms that never fall.
+#[derive(Debug, Default)]
+pub(super) struct Log {
+    entries: Vec<Entry>,
+}
+
+impl Log {
+    /// Returns the mark of the last entry.
+    pub fn last(&self) -> Mark {
+        self.entries
+            .last()
+            .map(|entry| entry.mark)
+            .unwrap_or_default()
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Returns the mark of the entry at a position, if the log reaches it.
+    pub fn mark_at(&self, position: i64) -> Option<Mark> {
+        if position == 0 {
+            return Some(Mark::default());
+        }
+        let index = usize::try_from(position).ok()?.checked_sub(1)?;
+        self.entries.get(index).map(|entry| entry.mark)
+    }
+
+    /// Returns the mark of the last of the first `count` entries.
+    pub fn mark_of(&self, count: usize) -> Mark {
+        let index = count.checked_sub(1);
+        let entry = index.and_then(|index| self.entries.get(index));
+        entry.map(|entry| entry.mark).unwrap_or_default()
+    }
+
+    /// Returns the entry after the first `count` ones.
+    pub fn get(&self, count: usize) -> Option<&Entry> {
+        self.entries.get(count)
+    }
+
+    /// Tells whether the log has exactly this entry.
+    pub fn contains(&self, mark: Mark) -> bool {
+        self.mark_at(mark.position) == Some(mark)
+    }
+
+    /// Returns the last entry at or before `mark` whose term is not above that of `mark`.
+    ///
+    /// Equal to `mark` when the log has that entry. Otherwise no entry after the result can be in
+    /// a log that ends in `mark`.
+    pub fn last_common(&self, mark: Mark) -> Mark {
+        let end = usize::try_from(mark.position).unwrap_or(0).min(self.len());
+        let below = self.entries[..end].partition_point(|entry| entry.mark.term <= mark.term);
+        self.mark_of(below)
+    }
+
+    /// Returns up to `limit` entries after a position.
+    pub fn after(&self, position: i64, limit: usize) -> &[Entry] {
+        let start = usize::try_from(position).unwrap_or(0).min(self.len());
+        let end = start.saturating_add(limit).min(self.len());
+        &self.entries[start..end]
+    }
+
+    /// Appends the statements of one transaction under a term.
+    pub fn append(&mut self, term: i64, statements: Vec<Statement>) {
+        let position = self.last().position + 1;
+        let mark = Mark { term, position };
+        self.entries.push(Entry { mark, statements });
+    }
+
+    /// Appends an entry received from a primary, if it directly follows the last one.
+    pub fn receive(&mut self, entry: Entry) -> bool {
+        let last = self.last();
+        let follows = entry.mark.position == last.position + 1 && entry.mark.term >= last.term;
+        if follows {
+            self.entries.push(entry);
+        }
+        follows
+    }
+
+    /// Removes all entries after a position.
+    pub fn truncate(&mut self, position: i64) {
+        self.entries
+            .truncate(usize::try_from(position).unwrap_or(0));
+    }
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/server.rs
@@ -0,0 +1,116 @@
+//! Listener of an upstream and the threads that it runs on.
+
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use pgwire::tokio::process_socket;
+use tokio::net::TcpStream;
+use tokio::runtime::{Builder, Runtime};
+use tokio::select;
+use tokio::sync::oneshot;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+use super::error::Error;
+use super::session::Session;
+use super::shared::Shared;
+use super::wire::Handlers;
+use super::{Handle, Options, replica};
+
+/// Time that a graceful stop gives statements in progress.
+const STOP_GRACE: Duration = Duration::from_secs(2);
+
+/// Pause between two looks at what is still in progress.
+const STOP_POLL: Duration = Duration::from_millis(2);
+
+/// Pause after a failed accept, which happens when file descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(10);
+
+/// Binds the listener and starts the threads of an upstream.
+pub(super) fn spawn(options: Options) -> Result<Handle, Error> {
+    let listener = TcpListener::bind(options.address)?;
+    listener.set_nonblocking(true)?;
+    let address = listener.local_addr()?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(options.threads.max(1))
+        .thread_name("upstream")
+        .enable_all()
+        .build()?;
+    let shared = Arc::new(Shared::open(options)?);
+    let (stop, stopping) = oneshot::channel();
+    let (ended, stopped) = oneshot::channel();
+    let state = Arc::clone(&shared);
+    thread::Builder::new()
+        .name("upstream".to_owned())
+        .spawn(move || {
+            serve(runtime, listener, &state, stopping);
+            // The receiver is gone if the handle was dropped.
+            let _ = ended.send(());
+        })?;
+    Ok(Handle {
+        address,
+        shared,
+        stop: Some(stop),
+        stopped,
+    })
+}
+
+fn serve(
+    runtime: Runtime,
+    listener: TcpListener,
+    shared: &Arc<Shared>,
+    stopping: oneshot::Receiver<()>,
+) {
+    runtime.block_on(async {
+        let Ok(listener) = tokio::net::TcpListener::from_std(listener) else {
+            return;
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(replica::pull(Arc::clone(shared)));
+        tasks.spawn(replica::advance(Arc::clone(shared)));
+        let graceful = select! {
+            graceful = stopping => graceful.is_ok(),
+            () = accept(&listener, shared, &mut tasks) => false,
+        };
+        drop(listener);
+        if graceful {
+            drain(shared).await;
+        }
+        tasks.shutdown().await;
+    });
+    runtime.shutdown_background();
+}
+
+async fn accept(listener: &tokio::net::TcpListener, shared: &Arc<Shared>, tasks: &mut JoinSet<()>) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => {
+                let session = Session::open(Arc::clone(shared));
+                tasks.spawn(connection(socket, Arc::new(session)));
+            }
+            Err(_) => sleep(ACCEPT_RETRY).await,
+        }
+        while tasks.try_join_next().is_some() {}
+    }
+}
+
+/// Serves one connection until either side closes it.
+async fn connection(socket: TcpStream, session: Arc<Session>) {
+    let handlers = Handlers::open(Arc::clone(&session));
+    select! {
+        // A connection that fails is closed, like one that ends.
+        _ = process_socket(socket, None, handlers) => {}
+        () = session.kill.notified() => {}
+    }
+}
+
+/// Waits for the statements in progress, up to the grace time.
+async fn drain(shared: &Shared) {
+    let deadline = Instant::now() + STOP_GRACE;
+    while shared.busy.load(Ordering::SeqCst) > 0 && Instant::now() < deadline {
+        sleep(STOP_POLL).await;
+    }
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/session.rs
@@ -0,0 +1,342 @@
+//! One connection's transaction and the statements that it runs.
+
+use std::future::pending;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use pgwire::messages::response::TransactionStatus;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use super::call;
+use super::database::{Description, Outcome};
+use super::error::SqlError;
+use super::faults::Fault;
+use super::function::Function;
+use super::node::Node;
+use super::shared::Shared;
+use super::sql::{Action, Command};
+use super::value::Value;
+
+/// Answer to one statement.
+#[derive(Debug)]
+pub(super) enum Reply {
+    /// Rows under a command tag.
+    Rows {
+        tag: &'static str,
+        rows: Vec<Vec<Value>>,
+    },
+    /// Command tag, with the number of changed rows if the command has one.
+    Done(&'static str, Option<usize>),
+    /// Command tag of a statement that started a transaction.
+    Started(&'static str),
+    /// Command tag of a statement that ended a transaction.
+    Ended(&'static str),
+}
+
+/// Open transaction of a session.
+#[derive(Debug)]
+struct Transaction {
+    /// Epoch of the upstream in which the transaction started.
+    epoch: u64,
+    /// Whether a statement has failed, so that only the end is taken.
+    failed: bool,
+    /// Statement time that is charged after the end.
+    owed: Duration,
+}
+
+/// State of one connection.
+#[derive(Debug)]
+pub(super) struct Session {
+    pub shared: Arc<Shared>,
+    /// Asks the connection's task to close it at once.
+    pub kill: Notify,
+    /// Whether the connection counts against the limit.
+    pub counted: AtomicBool,
+    id: u64,
+    transaction: Mutex<Option<Transaction>>,
+    in_batch: AtomicBool,
+}
+
+impl Session {
+    /// Opens the state of a new connection.
+    pub fn open(shared: Arc<Shared>) -> Self {
+        Self {
+            id: shared.next_session(),
+            shared,
+            kill: Notify::new(),
+            counted: AtomicBool::new(false),
+            transaction: Mutex::new(None),
+            in_batch: AtomicBool::new(false),
+        }
+    }
+
+    /// Returns the transaction status for the client.
+    pub fn status(&self) -> TransactionStatus {
+        match &*self.transaction() {
+            None => TransactionStatus::Idle,
+            Some(open) if open.failed => TransactionStatus::Error,
+            Some(_) => TransactionStatus::Transaction,
+        }
+    }
+
+    /// Starts a batch of statements, which the delay fault delays once.
+    pub async fn start_batch(&self) {
+        if !self.in_batch.swap(true, Ordering::SeqCst) {
+            self.shared.busy.fetch_add(1, Ordering::SeqCst);
+            sleep_some(self.shared.faults.duration(Fault::DelayMs)).await;
+        }
+    }
+
+    /// Ends a batch of statements.
+    pub fn end_batch(&self) {
+        if self.in_batch.swap(false, Ordering::SeqCst) {
+            self.shared.busy.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    /// Closes the connection without an answer.
+    pub async fn close(&self) {
+        self.kill.notify_one();
+        pending::<()>().await;
+    }
+
+    /// Finds the parameter types and result columns of a statement.
+    pub fn describe(&self, command: &Command) -> Result<Description, SqlError> {
+        let described = self
+            .check_open(command)
+            .and_then(|()| match &command.action {
+                Action::Call(call) => Ok(call::describe(call)),
+                Action::Query => self.shared.node().describe(self.id, command),
+                _ => Ok(Description::default()),
+            });
+        self.note(described)
+    }
+
+    /// Runs one statement.
+    pub async fn run(&self, command: &Command, params: &[Value]) -> Result<Reply, SqlError> {
+        let reply = match self.check_open(command) {
+            Ok(()) => self.dispatch(command, params).await,
+            Err(err) => Err(err),
+        };
+        self.note(reply)
+    }
+
+    /// Starts the transaction that surrounds several statements of one simple query.
+    pub fn begin(&self) {
+        let mut transaction = self.transaction();
+        if transaction.is_none() {
+            *transaction = Some(Transaction {
+                epoch: self.shared.node().epoch(),
+                failed: false,
+                owed: Duration::ZERO,
+            });
+        }
+    }
+
+    /// Ends the transaction, if there is one, without keeping its changes.
+    pub async fn rollback(&self) {
+        self.shared.node().rollback(self.id);
+        let ended = self.transaction().take();
+        sleep_some(ended.map(|ended| ended.owed).unwrap_or_default()).await;
+    }
+
+    /// Commits the transaction; one that has failed is rolled back instead.
+    pub async fn commit(&self) -> Result<Reply, SqlError> {
+        let Some(ended) = self.transaction().take() else {
+            return Ok(Reply::Ended("COMMIT"));
+        };
+        if ended.failed {
+            self.shared.node().rollback(self.id);
+            return Ok(Reply::Ended("ROLLBACK"));
+        }
+        let wrote = self.commit_writes(&ended)?;
+        sleep_some(ended.owed).await;
+        if wrote {
+            self.answer_or_drop().await;
+        }
+        Ok(Reply::Ended("COMMIT"))
+    }
+
+    /// Marks the open transaction as failed.
+    pub fn fail(&self) {
+        if let Some(open) = &mut *self.transaction() {
+            open.failed = true;
+        }
+    }
+
+    /// Loses the answer to a statement that took effect, if the fault says so.
+    pub async fn answer_or_drop(&self) {
+        if self.shared.faults.take_dropped_answer() {
+            self.close().await;
+        }
+    }
+
+    async fn dispatch(&self, command: &Command, params: &[Value]) -> Result<Reply, SqlError> {
+        match &command.action {
+            Action::Begin => {
+                self.begin();
+                Ok(Reply::Started(command.tag))
+            }
+            Action::Commit => self.commit().await,
+            Action::Rollback => {
+                self.rollback().await;
+                Ok(Reply::Ended("ROLLBACK"))
+            }
+            Action::Savepoint { back } => self.savepoint(command, *back).await,
+            Action::Setting(tag) => Ok(Reply::Done(tag, None)),
+            Action::Call(call) => call::run(self, call, params).await,
+            Action::Query => self.query(command, params).await,
+        }
+    }
+
+    async fn query(&self, command: &Command, params: &[Value]) -> Result<Reply, SqlError> {
+        let writes = self.shared.node().writes(self.id, command)?;
+        if writes {
+            self.shared.node().check_writable()?;
+        }
+        self.charge().await;
+        let outcome = if !writes {
+            self.shared.node().read(self.id, command, params)?
+        } else if self.transaction().is_some() {
+            self.write(command, params).await?
+        } else {
+            self.write_alone(command, params).await?
+        };
+        Ok(reply(command, outcome))
+    }
+
+    /// Runs a write as a transaction of its own.
+    async fn write_alone(&self, command: &Command, params: &[Value]) -> Result<Outcome, SqlError> {
+        let permit = self.shared.writer().await?;
+        let outcome = {
+            let mut node = self.shared.node();
+            node.begin(self.id, permit)?;
+            let outcome = node.write(self.id, command, params);
+            if outcome.is_err() {
+                node.rollback(self.id);
+            }
+            let outcome = outcome?;
+            node.commit(self.id)?;
+            outcome
+        };
+        self.answer_or_drop().await;
+        Ok(outcome)
+    }
+
+    /// Runs a write in the open transaction, which becomes the one writer first.
+    async fn write(&self, command: &Command, params: &[Value]) -> Result<Outcome, SqlError> {
+        if !self.shared.node().is_writer(self.id) {
+            let permit = self.shared.writer().await?;
+            let mut node = self.shared.node();
+            self.check_epoch(&node)?;
+            node.begin(self.id, permit)?;
+        }
+        let mut node = self.shared.node();
+        self.check_epoch(&node)?;
+        node.write(self.id, command, params)
+    }
+
+    /// Runs a savepoint statement, which has no effect where nothing can be written.
+    async fn savepoint(&self, command: &Command, back: bool) -> Result<Reply, SqlError> {
+        let writable = self.shared.node().check_writable().is_ok();
+        if writable && self.transaction().is_some() {
+            self.write(command, &[]).await?;
+        }
+        if let (true, Some(open)) = (back, &mut *self.transaction()) {
+            open.failed = false;
+        }
+        Ok(Reply::Done(command.tag, None))
+    }
+
+    fn commit_writes(&self, ended: &Transaction) -> Result<bool, SqlError> {
+        let mut node = self.shared.node();
+        if node.epoch() != ended.epoch {
+            return Err(SqlError::aborted());
+        }
+        let wrote = node.is_writer(self.id);
+        if wrote {
+            node.commit(self.id)?;
+        }
+        Ok(wrote)
+    }
+
+    /// Takes the time of one statement, at once or on account of the open write transaction.
+    async fn charge(&self) {
+        let time = self.shared.options.statement;
+        let deferred = self.shared.node().is_writer(self.id);
+        if let (true, Some(open)) = (deferred, &mut *self.transaction()) {
+            open.owed += time;
+        }
+        let slow = self.shared.faults.duration(Fault::SlowStatementMs);
+        sleep_some(if deferred { slow } else { time + slow }).await;
+    }
+
+    /// Refuses a statement in a transaction that has failed or was aborted.
+    fn check_open(&self, command: &Command) -> Result<(), SqlError> {
+        let ends = matches!(
+            command.action,
+            Action::Commit | Action::Rollback | Action::Savepoint { back: true }
+        );
+        let switches =
+            matches!(&command.action, Action::Call(call) if call.function == Function::Fault);
+        if ends || switches {
+            return Ok(());
+        }
+        match &*self.transaction() {
+            Some(open) if open.failed => Err(SqlError::failed_transaction()),
+            Some(open) if open.epoch != self.shared.node().epoch() => Err(SqlError::aborted()),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_epoch(&self, node: &Node) -> Result<(), SqlError> {
+        match &*self.transaction() {
+            Some(open) if open.epoch == node.epoch() => Ok(()),
+            _ => Err(SqlError::aborted()),
+        }
+    }
+
+    /// Marks the open transaction as failed after an error.
+    fn note<T>(&self, result: Result<T, SqlError>) -> Result<T, SqlError> {
+        if result.is_err() {
+            self.fail();
+        }
+        result
+    }
+
+    fn transaction(&self) -> MutexGuard<'_, Option<Transaction>> {
+        self.transaction
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for Session {
+    fn drop(&mut self) {
+        self.end_batch();
+        self.shared.node().rollback(self.id);
+        if self.counted.load(Ordering::SeqCst) {
+            self.shared.connections.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+}
+
+fn reply(command: &Command, outcome: Outcome) -> Reply {
+    if outcome.columns {
+        return Reply::Rows {
+            tag: command.tag,
+            rows: outcome.rows,
+        };
+    }
+    let counted = matches!(command.tag, "INSERT 0" | "UPDATE" | "DELETE");
+    Reply::Done(command.tag, counted.then_some(outcome.changed))
+}
+
+/// Sleeps unless there is nothing to wait for.
+async fn sleep_some(time: Duration) {
+    if !time.is_zero() {
+        sleep(time).await;
+    }
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/shared.rs
@@ -0,0 +1,94 @@
+//! State that all connections and tasks of one upstream share.
+
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
+
+use super::Options;
+use super::error::{Error, SqlError, code};
+use super::faults::{Fault, Faults};
+use super::node::{Lags, Node, Role};
+
+/// Upstream as its tasks see it.
+#[derive(Debug)]
+pub(super) struct Shared {
+    pub options: Options,
+    pub faults: Faults,
+    /// Connections that count against the limit.
+    pub connections: AtomicUsize,
+    /// Statements and transactions in progress, which a graceful stop waits for.
+    pub busy: AtomicUsize,
+    /// Wakes the task that moves lagging entries on.
+    pub lagging: Notify,
+    node: Mutex<Node>,
+    writer: Arc<Semaphore>,
+    sessions: AtomicU64,
+}
+
+impl Shared {
+    /// Opens the state of an upstream in its first role.
+    pub fn open(options: Options) -> Result<Self, Error> {
+        let mut node = Node::open()?;
+        if options.role == Role::Primary {
+            node.start_primary();
+        } else if let Some(primary) = &options.follow {
+            node.follow(primary, 0);
+        }
+        let faults = Faults::new();
+        faults.set(Fault::ReceiveLagMs, milliseconds(options.receive_lag));
+        faults.set(Fault::ApplyLagMs, milliseconds(options.apply_lag));
+        Ok(Self {
+            options,
+            faults,
+            connections: AtomicUsize::new(0),
+            busy: AtomicUsize::new(0),
+            lagging: Notify::new(),
+            node: Mutex::new(node),
+            writer: Arc::new(Semaphore::new(1)),
+            sessions: AtomicU64::new(0),
+        })
+    }
+
+    /// Locks the state.
+    pub fn node(&self) -> MutexGuard<'_, Node> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the id of a new session.
+    pub fn next_session(&self) -> u64 {
+        self.sessions.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Sets a fault and wakes the tasks that depend on it.
+    pub fn set_fault(&self, fault: Fault, value: i64) {
+        self.faults.set(fault, value);
+        self.lagging.notify_one();
+    }
+
+    /// Waits to become the one writer.
+    pub async fn writer(&self) -> Result<OwnedSemaphorePermit, SqlError> {
+        let writer = Arc::clone(&self.writer).acquire_owned();
+        if let Ok(Ok(permit)) = timeout(self.options.lock_wait, writer).await {
+            return Ok(permit);
+        }
+        let message = "could not serialize access: another transaction is writing";
+        Err(SqlError::new(code::SERIALIZATION_FAILURE, message))
+    }
+
+    /// Moves entries on whose lag has passed; returns when the next one is due.
+    pub fn advance(&self) -> Option<Instant> {
+        let lags = Lags {
+            receive: self.faults.duration(Fault::ReceiveLagMs),
+            apply: self.faults.duration(Fault::ApplyLagMs),
+        };
+        self.node().advance(Instant::now(), lags)
+    }
+}
+
+/// Returns a time in whole milliseconds.
+pub(super) fn milliseconds(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/sql.rs
@@ -0,0 +1,184 @@
+//! Recognises the statements that the stand-in treats itself and prepares the rest for `SQLite`.
+
+use std::sync::Arc;
+
+use super::error::{SqlError, code};
+use super::function::Call;
+use super::tokens::{Token, tokens};
+
+/// What a statement does to the session.
+#[derive(Clone, Debug)]
+pub(super) enum Action {
+    /// Starts a transaction.
+    Begin,
+    /// Ends a transaction and keeps its changes.
+    Commit,
+    /// Ends a transaction and drops its changes.
+    Rollback,
+    /// Sets, releases or returns to a savepoint.
+    Savepoint {
+        /// Whether it returns to the savepoint.
+        back: bool,
+    },
+    /// Changes a setting, which the stand-in ignores.
+    Setting(&'static str),
+    /// Calls a function of the upstream.
+    Call(Call),
+    /// Runs in `SQLite`.
+    Query,
+}
+
+/// One parsed statement.
+#[derive(Clone, Debug)]
+pub(super) struct Command {
+    /// Text as the client sent it.
+    pub text: Arc<str>,
+    /// Text for `SQLite`, without `PostgreSQL`'s casts and locking clauses.
+    pub sql: Arc<str>,
+    /// Command tag of the answer.
+    pub tag: &'static str,
+    pub action: Action,
+}
+
+impl Command {
+    /// Parses one statement; none if it is empty.
+    pub fn parse(sql: &str) -> Result<Option<Self>, SqlError> {
+        let found = tokens(sql);
+        let Some(first) = found.first() else {
+            return Ok(None);
+        };
+        let tag = tag(&found);
+        let action = action(&found, first)?;
+        Ok(Some(Self {
+            text: Arc::from(sql),
+            sql: Arc::from(translate(sql, &found)),
+            tag,
+            action,
+        }))
+    }
+}
+
+/// Splits the text of a simple query into its statements.
+pub(super) fn split(sql: &str) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut start = 0;
+    for token in tokens(sql).iter().filter(|token| token.is(";")) {
+        parts.push(&sql[start..token.start]);
+        start = token.end();
+    }
+    parts.push(&sql[start..]);
+    parts
+}
+
+fn action(found: &[Token<'_>], first: &Token<'_>) -> Result<Action, SqlError> {
+    let word = first.text.to_ascii_lowercase();
+    let to_savepoint = found.iter().any(|token| token.is("to"));
+    let action = match word.as_str() {
+        "begin" | "start" => Action::Begin,
+        "commit" | "end" => Action::Commit,
+        "rollback" | "abort" if !to_savepoint => Action::Rollback,
+        "rollback" => Action::Savepoint { back: true },
+        "savepoint" | "release" => Action::Savepoint { back: false },
+        "set" => Action::Setting("SET"),
+        "reset" => Action::Setting("RESET"),
+        "discard" => Action::Setting("DISCARD ALL"),
+        "deallocate" => Action::Setting("DEALLOCATE"),
+        "pragma" | "attach" | "detach" | "vacuum" | "explain" | "copy" | "listen" => {
+            let message = format!("{} is not supported", word.to_ascii_uppercase());
+            return Err(SqlError::new(code::FEATURE_NOT_SUPPORTED, message));
+        }
+        _ => Call::parse(found)?.map_or(Action::Query, Action::Call),
+    };
+    Ok(action)
+}
+
+/// Returns the command tag, which for a query after WITH is that of its main statement.
+fn tag(found: &[Token<'_>]) -> &'static str {
+    const TAGS: [(&str, &str); 12] = [
+        ("select", "SELECT"),
+        ("values", "SELECT"),
+        ("insert", "INSERT 0"),
+        ("replace", "INSERT 0"),
+        ("update", "UPDATE"),
+        ("delete", "DELETE"),
+        ("begin", "BEGIN"),
+        ("start", "START TRANSACTION"),
+        ("commit", "COMMIT"),
+        ("rollback", "ROLLBACK"),
+        ("savepoint", "SAVEPOINT"),
+        ("release", "RELEASE"),
+    ];
+    let mut depth = 0;
+    for token in found {
+        depth += depth_change(token);
+        let known = TAGS.iter().find(|(word, _)| token.is(word));
+        if let (0, Some((_, tag))) = (depth, known) {
+            return tag;
+        }
+        if depth == 0 && (token.is("create") || token.is("drop") || token.is("alter")) {
+            return ddl_tag(token);
+        }
+    }
+    "OK"
+}
+
+fn ddl_tag(token: &Token<'_>) -> &'static str {
+    if token.is("create") {
+        "CREATE TABLE"
+    } else if token.is("drop") {
+        "DROP TABLE"
+    } else {
+        "ALTER TABLE"
+    }
+}
+
+/// Returns by how much a token changes the depth of brackets.
+pub(super) fn depth_change(token: &Token<'_>) -> i32 {
+    i32::from(token.is("(")) - i32::from(token.is(")"))
+}
+
+/// Removes casts and locking clauses, which `SQLite` does not know.
+fn translate(sql: &str, found: &[Token<'_>]) -> String {
+    let mut text = String::with_capacity(sql.len());
+    let mut kept = 0;
+    let mut index = 0;
+    while let Some(token) = found.get(index) {
+        let length = if token.is("::") {
+            cast_length(&found[index..])
+        } else {
+            locking_length(&found[index..])
+        };
+        if length == 0 {
+            index += 1;
+            continue;
+        }
+        let last = &found[index + length - 1];
+        text.push_str(&sql[kept..token.start]);
+        kept = last.end();
+        index += length;
+    }
+    text.push_str(&sql[kept..]);
+    text
+}
+
+/// Returns the number of tokens of a cast: the sign, the type's name and its size in brackets.
+fn cast_length(rest: &[Token<'_>]) -> usize {
+    let Some(name) = rest.get(1) else {
+        return 1;
+    };
+    let is = |index: usize, text: &str| rest.get(index).is_some_and(|token| token.is(text));
+    let words = 2 + usize::from(name.is("double") && is(2, "precision"));
+    if !is(words, "(") {
+        return words;
+    }
+    let close = rest.iter().position(|token| token.is(")"));
+    close.map_or(words, |close| close + 1)
+}
+
+/// Returns the number of tokens of a locking clause at the end of a query.
+fn locking_length(rest: &[Token<'_>]) -> usize {
+    match rest {
+        [first, second] if first.is("for") && (second.is("update") || second.is("share")) => 2,
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/tokens.rs
@@ -0,0 +1,125 @@
+//! Splits SQL text into tokens, as far as the stand-in has to understand it.
+
+/// Kind of a token.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Kind {
+    /// Keyword or name.
+    Word,
+    /// Parameter `$n`.
+    Param(usize),
+    /// Number, text or quoted literal.
+    Literal,
+    /// Operator, bracket or other sign.
+    Sign,
+}
+
+/// One token and its text.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Token<'a> {
+    pub kind: Kind,
+    pub text: &'a str,
+    /// Offset of the text in the statement.
+    pub start: usize,
+}
+
+impl Token<'_> {
+    /// Tells whether this is the given keyword or sign.
+    pub fn is(&self, text: &str) -> bool {
+        self.kind != Kind::Literal && self.text.eq_ignore_ascii_case(text)
+    }
+
+    /// Returns the offset after the token.
+    pub fn end(&self) -> usize {
+        self.start + self.text.len()
+    }
+
+    /// Returns the token as a name in lower case, without its quotes.
+    pub fn name(&self) -> String {
+        self.text.trim_matches('"').to_ascii_lowercase()
+    }
+
+    /// Returns the content of a literal without its quotes.
+    pub fn unquoted(&self) -> String {
+        match self.text.strip_prefix('\'') {
+            Some(rest) => rest.strip_suffix('\'').unwrap_or(rest).replace("''", "'"),
+            None => self.text.to_owned(),
+        }
+    }
+}
+
+/// Splits a text into tokens, without blanks and comments.
+pub(super) fn tokens(sql: &str) -> Vec<Token<'_>> {
+    let mut found = Vec::new();
+    let mut start = 0;
+    while let Some(first) = sql[start..].chars().next() {
+        let rest = &sql[start..];
+        let (kind, length) = scan(rest, first);
+        if let Some(kind) = kind {
+            let text = &rest[..length];
+            found.push(Token { kind, text, start });
+        }
+        start += length;
+    }
+    found
+}
+
+/// Returns the kind of the first token and its length; blanks and comments have no kind.
+fn scan(rest: &str, first: char) -> (Option<Kind>, usize) {
+    if first.is_whitespace() {
+        return (None, first.len_utf8());
+    }
+    if rest.starts_with("--") {
+        return (None, rest.find('\n').unwrap_or(rest.len()));
+    }
+    if rest.starts_with("/*") {
+        return (None, rest.find("*/").map_or(rest.len(), |end| end + 2));
+    }
+    match first {
+        '\'' => (Some(Kind::Literal), quoted(rest, '\'')),
+        '"' => (Some(Kind::Word), quoted(rest, '"')),
+        '$' => parameter(rest),
+        '0'..='9' => (Some(Kind::Literal), while_true(rest, is_number)),
+        _ if is_word(first) => (Some(Kind::Word), while_true(rest, is_word)),
+        _ => (Some(Kind::Sign), sign(rest, first)),
+    }
+}
+
+fn parameter(rest: &str) -> (Option<Kind>, usize) {
+    let digits = while_true(&rest[1..], |sign| sign.is_ascii_digit());
+    match rest[1..=digits].parse() {
+        Ok(number) => (Some(Kind::Param(number)), digits + 1),
+        Err(_) => (Some(Kind::Sign), 1),
+    }
+}
+
+fn sign(rest: &str, first: char) -> usize {
+    const DOUBLE: [&str; 8] = ["::", "<=", ">=", "<>", "!=", "||", "->", "=="];
+    let double = DOUBLE.iter().any(|sign| rest.starts_with(sign));
+    if double { 2 } else { first.len_utf8() }
+}
+
+/// Returns the length of a quoted text, in which a doubled quote stands for itself.
+fn quoted(rest: &str, quote: char) -> usize {
+    let mut signs = rest.char_indices().skip(1).peekable();
+    while let Some((at, sign)) = signs.next() {
+        if sign != quote {
+            continue;
+        }
+        if signs.next_if(|&(_, next)| next == quote).is_none() {
+            return at + 1;
+        }
+    }
+    rest.len()
+}
+
+fn while_true(rest: &str, test: impl Fn(char) -> bool) -> usize {
+    rest.find(|sign| !test(sign)).unwrap_or(rest.len())
+}
+
+fn is_number(sign: char) -> bool {
+    sign.is_ascii_alphanumeric() || sign == '.'
+}
+
+fn is_word(sign: char) -> bool {
+    sign.is_alphanumeric() || sign == '_'
+}
