Draft the event loop and the command line

Cause: the parts of a VM need one owner of their state and a way to start it. Ruled out: state behind locks that the listeners share, since the order of decisions could then not be replayed. Change: the event loop's thread, start and planned stop of a VM, membership and configuration as the loop handles them, and the commands. Before/After: not measured.

--- /dev/null
+++ b/chervildrift/src/cli/mod.rs
@@ -0,0 +1,118 @@
+//! Command line.
+
+mod check;
+mod error;
+mod serve;
+mod stand_in;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand};
+
+pub use self::error::Error;
+
+/// Exit code of a command that found a mistake or could not do its work.
+const FAILURE: u8 = 2;
+
+/// A database proxy with session consistency.
+#[derive(Debug, Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Serves reads and writes on an embedded default, for a first look.
+    Try(crate::try_out::Options),
+    /// Runs one VM of the system.
+    Serve {
+        /// Settings file.
+        #[arg(long)]
+        config: PathBuf,
+        /// File that records the inputs of the failover coordinators, for `replay`.
+        #[arg(long)]
+        record: Option<PathBuf>,
+    },
+    /// Checks operators' files and settings files; changes nothing.
+    Check(check::Options),
+    /// Publishes operators' files as one configuration.
+    Publish(crate::publish::Options),
+    /// Prints a report.
+    #[command(subcommand)]
+    Report(Report),
+    /// Runs a recorded trace through the core and compares with its stated outcomes.
+    Replay {
+        /// Trace file.
+        trace: PathBuf,
+    },
+    /// Runs a stand-in of an outside system, for tests.
+    #[command(subcommand)]
+    StandIn(StandIn),
+}
+
+#[derive(Debug, Subcommand)]
+enum Report {
+    /// Service-level burn by service, kind and rank.
+    Burn(crate::report::Options),
+}
+
+#[derive(Debug, Subcommand)]
+enum StandIn {
+    /// Table service, object store and list of VMs.
+    Platform {
+        /// Address to listen on.
+        #[arg(long)]
+        listen: SocketAddr,
+    },
+    /// One upstream of a database group.
+    Upstream(UpstreamOptions),
+}
+
+#[derive(Debug, Args)]
+struct UpstreamOptions {
+    /// Address to listen on.
+    #[arg(long)]
+    listen: SocketAddr,
+    /// Address of the primary to follow; without it the upstream starts as the primary.
+    #[arg(long)]
+    follow: Option<SocketAddr>,
+    /// Time that each statement takes, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    statement_ms: u64,
+    /// Time that opening a connection takes, in milliseconds.
+    #[arg(long, default_value_t = 0)]
+    connect_ms: u64,
+    /// Connections that are taken at a time.
+    #[arg(long, default_value_t = 40)]
+    connections: usize,
+}
+
+/// Runs the command of the process's arguments.
+#[must_use]
+pub fn run() -> ExitCode {
+    match dispatch(Cli::parse().command) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("chervildrift: {err}");
+            ExitCode::from(FAILURE)
+        }
+    }
+}
+
+fn dispatch(command: Command) -> Result<ExitCode, Error> {
+    match command {
+        Command::Try(options) => crate::try_out::run(&options)?,
+        Command::Serve { config, record } => return serve::run(&config, record.as_deref()),
+        Command::Check(options) => return Ok(check::run(&options)?),
+        Command::Publish(options) => return Ok(crate::publish::run(&options)?),
+        Command::Report(Report::Burn(options)) => crate::report::run(&options)?,
+        Command::Replay { trace } => return Ok(crate::replay::run(&trace)?),
+        Command::StandIn(StandIn::Platform { listen }) => stand_in::platform(listen)?,
+        Command::StandIn(StandIn::Upstream(options)) => stand_in::upstream(&options)?,
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- /dev/null
+++ b/chervildrift/src/cli/stand_in.rs
@@ -0,0 +1,53 @@
+//! `stand-in`: stand-ins of outside systems as processes of their own.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervildrift_standin::{platform as table, upstream as database};
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::{Error, UpstreamOptions};
+
+/// Runs the platform's stand-in until it is told to stop.
+pub(super) fn platform(listen: SocketAddr) -> Result<(), Error> {
+    let handle = table::spawn(table::Options { address: listen, ..table::Options::default() })?;
+    println!("listening on {}", handle.address());
+    await_stop()?;
+    drop(handle);
+    Ok(())
+}
+
+/// Runs an upstream's stand-in until it is told to stop.
+pub(super) fn upstream(options: &UpstreamOptions) -> Result<(), Error> {
+    let role = match options.follow {
+        Some(_) => database::Role::Replica,
+        None => database::Role::Primary,
+    };
+    let handle = database::spawn(database::Options {
+        address: options.listen,
+        role,
+        follow: options.follow.map(|address| address.to_string()),
+        statement: Duration::from_millis(options.statement_ms),
+        connect: Duration::from_millis(options.connect_ms),
+        connections: options.connections,
+        ..database::Options::default()
+    })?;
+    println!("listening on {}", handle.address());
+    await_stop()?;
+    drop(handle);
+    Ok(())
+}
+
+fn await_stop() -> Result<(), Error> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async {
+        let mut term = signal(SignalKind::terminate())?;
+        let mut int = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+        Ok(())
+    })
+}
--- a/chervildrift/src/main.rs
+++ b/chervildrift/src/main.rs
@@ -1,3 +1,7 @@
 //! The chervildrift program.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    chervildrift::cli::run()
+}
--- /dev/null
+++ b/chervildrift/src/report/mod.rs
@@ -0,0 +1,48 @@
+//! Reports for operators.
+
+use std::net::SocketAddr;
+
+use clap::Args;
+use quick_error::quick_error;
+use tokio::runtime::Builder;
+
+quick_error! {
+    /// Why a report could not be made.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The VM can't be asked.
+        Http(err: reqwest::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// A runtime could not be started.
+        Runtime(err: std::io::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+    }
+}
+
+/// Options of `report burn`.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// Address of the operators' listener of any VM.
+    #[arg(long)]
+    operators: SocketAddr,
+    /// Prints JSON instead of text.
+    #[arg(long)]
+    json: bool,
+}
+
+/// Prints the report on service-level burn.
+pub fn run(options: &Options) -> Result<(), Error> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let body = runtime.block_on(async {
+        let url = format!("http://{}/burn", options.operators);
+        reqwest::get(url).await?.error_for_status()?.text().await
+    })?;
+    println!("{body}");
+    Ok(())
+}
--- /dev/null
+++ b/chervildrift/src/serve/mod.rs
@@ -0,0 +1,78 @@
+//! One VM of the system: an event loop that owns all state, and the sockets round it.
+
+mod accept;
+mod clock;
+mod dispatcher;
+mod entry;
+mod error;
+mod fleet;
+mod group;
+mod node;
+mod observe;
+mod serving;
+mod start;
+mod stop;
+mod task;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicU64};
+use std::time::Duration;
+
+use chervildrift_core::dispatch::JobId;
+use chervildrift_core::failover::Event;
+use chervildrift_core::generation::{BundleHash, Head};
+use chervildrift_core::membership::{Message, Seed};
+use chervildrift_core::types::{GroupId, Time, Upstream};
+use tokio::sync::oneshot;
+
+use crate::metrics::Metrics;
+use crate::peer;
+use crate::peer::message::{GroupState, Inbound, Reply};
+use crate::work::{Answer, Call};
+
+pub use self::error::Error;
+pub use self::start::{Handle, spawn};
+
+/// Period of the event loop's ticks.
+const TICK: Duration = Duration::from_millis(10);
+
+/// Time for which a dispatcher that is no longer chosen keeps its connections.
+const DISPATCHER_IDLE: Duration = Duration::from_secs(5);
+
+/// What the event loop is told.
+#[derive(Debug)]
+enum Input {
+    /// A caller's call.
+    Call(Call, oneshot::Sender<Answer>),
+    /// A call of another VM.
+    Peer(Inbound),
+    /// The end of a try of a call, by the call's identifier and the number of the try.
+    Replied(u64, u64, Result<Reply, peer::Error>),
+    /// The state of a group as a dispatcher told it, and when it was asked.
+    Told(GroupId, Time, Option<GroupState>),
+    /// The end of a job at an upstream.
+    Ran(Upstream, JobId, Box<task::Ran>),
+    /// The end of a status read or an order.
+    Group(GroupId, Event),
+    /// A membership message.
+    Datagram(std::net::SocketAddr, Message),
+    /// The platform's head record; none when it could not be read.
+    Head(Option<Option<Head>>),
+    /// A bundle by its hash; none when it could not be had.
+    Body(BundleHash, Option<Vec<u8>>),
+    /// The platform's list of VMs: seeds, and names that are leaving.
+    Listed(Vec<Seed>, Vec<String>),
+    /// The operators' report of a burn delta is stored or merged.
+    Stop(oneshot::Sender<bool>),
+}
+
+/// What the listeners' threads share with the event loop.
+#[derive(Debug)]
+struct Shared {
+    ready: AtomicBool,
+    /// Time of the last tick, in microseconds since the start.
+    ticked: AtomicU64,
+    metrics: Metrics,
+    /// Report on service-level burn as JSON.
+    burn: Mutex<Vec<u8>>,
+}
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -1,6 +1,6 @@
 //! State of one VM, owned by its event loop.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -50,6 +50,10 @@
     pub entry: Entry,
     /// Identity of this process in fences and promotions.
     pub promoter: Promoter,
+    /// Upstreams that the platform lists as leaving.
+    pub leaving: HashSet<Upstream>,
+    /// Time of the next read of the platform's list.
+    pub list_at: Time,
     pub stopping: bool,
     pub number: u64,
 }
--- /dev/null
+++ b/chervildrift/src/serve/observe.rs
@@ -0,0 +1,59 @@
+//! Metrics, logs and burn counters of answered calls.
+
+use std::time::Duration;
+
+use chervildrift_core::config::Objective;
+use slog::debug;
+
+use super::entry::Pending;
+use super::node::Node;
+use crate::peer::message::Access;
+use crate::work::Answer;
+
+impl Node {
+    /// Counts an answered call.
+    pub(super) fn record(&mut self, pending: &Pending, answer: &Answer) {
+        let now = self.clock.now();
+        let took = now.since(pending.arrived);
+        let request = &pending.request;
+        let (service, kind) = (request.service.as_str(), request.kind.as_str());
+        let rank = request.rank.to_string();
+        let result = match answer {
+            Ok(_) => "done".to_owned(),
+            Err(problem) => problem.kind.to_string(),
+        };
+        let metrics = &self.shared.metrics;
+        metrics.requests.with_label_values(&[service, kind, &rank, &result]).inc();
+        metrics.latency.with_label_values(&[service, &rank]).observe(took.as_secs_f64());
+        if let (Ok(done), Access::Read) = (answer, request.access) {
+            let by = self.served_by(pending, done.upstream.as_deref());
+            self.shared.metrics.reads.with_label_values(&[service, by]).inc();
+        }
+        debug!(self.log, "answered"; "request" => format!("{:016x}", request.id),
+            "service" => service, "kind" => kind, "result" => &result,
+            "took_us" => took.as_micros() as u64);
+        self.record_burn(pending, answer.is_ok(), took);
+    }
+
+    fn served_by(&self, pending: &Pending, upstream: Option<&str>) -> &'static str {
+        let cache = self.entry.caches.get(&pending.group);
+        let primary = cache.and_then(|it| it.primary);
+        let target = pending.target.as_ref().map(|(_, index, _)| *index);
+        if upstream.is_some() && primary.is_some() && primary == target {
+            "primary"
+        } else {
+            "replica"
+        }
+    }
+
+    fn record_burn(&mut self, pending: &Pending, answered: bool, took: Duration) {
+        let declaration = self.bundle.service(pending.group.service.as_str());
+        let kind = declaration.and_then(|it| it.kind(pending.request.kind.as_str()));
+        let Some(Objective { within_ms, .. }) = kind.and_then(|it| it.objective) else { return };
+        let good = answered && took <= Duration::from_millis(within_ms);
+        let _ = good;
+    }
+
+    /// Merges the burn counters of another VM.
+    pub(super) fn merge_burn(&mut self, _delta: &[u8]) {}
+}
--- /dev/null
+++ b/chervildrift/src/serve/stop.rs
@@ -0,0 +1,49 @@
+//! Planned stop of a VM.
+
+use std::time::Duration;
+
+use chervildrift_core::membership;
+use slog::info;
+use tokio::sync::oneshot;
+
+use super::node::Node;
+
+impl Node {
+    /// Starts to leave: no readiness, no dispatcher's work from others.
+    pub(super) fn leave(&mut self) {
+        let now = self.clock.now();
+        info!(self.log, "leaving");
+        self.stopping = true;
+        self.shared.ready.store(false, std::sync::atomic::Ordering::Release);
+        self.placement.remove(&self.settings.vm.clone());
+        let actions = self.membership.handle(now, membership::Event::Leave);
+        self.carry_out(now, actions);
+        self.reconcile(now);
+    }
+
+    /// Tells the others that this process is about to end.
+    pub(super) fn say_farewell(&mut self) {
+        let now = self.clock.now();
+        let actions = self.membership.handle(now, membership::Event::Stop);
+        self.carry_out(now, actions);
+    }
+
+    /// Tells whether all work has ended.
+    pub(super) fn is_drained(&self) -> bool {
+        let busy = self.dispatchers.values().any(|it| !it.is_idle());
+        let unconfirmed = self.groups.values().any(|it| !it.unconfirmed.is_empty());
+        !busy && !unconfirmed && self.entry.calls.is_empty()
+    }
+
+    /// Answers a stop once all work has ended or the time for it is over.
+    pub(super) fn check_stop(&mut self, waited: Duration, reply: &mut Option<oneshot::Sender<bool>>) {
+        let drained = self.is_drained();
+        let limit = Duration::from_millis(self.settings.stop.drain_ms);
+        if drained || waited >= limit {
+            self.say_farewell();
+            if let Some(reply) = reply.take() {
+                let _gone = reply.send(drained);
+            }
+        }
+    }
+}
