Add the platform stand-in

Ruled out: losing an answer by a response body that fails, because the head of the answer may already be on its way; a proxy in front of the server, because an error of the outermost service already closes the connection unanswered. Before: an empty module.

--- /dev/null
+++ b/chervildrift_standin/src/platform/error.rs
@@ -0,0 +1,29 @@
+//! Errors of the platform stand-in.
+
+use std::io;
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Failure to start a platform stand-in.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The listener or its threads could not be started.
+        Io(err: io::Error) {
+            from()
+            source(err)
+            display("cannot start the platform stand-in: {err}")
+        }
+    }
+}
+
+quick_error! {
+    /// Reason for closing a connection without an answer.
+    #[derive(Clone, Copy, Debug)]
+    pub enum AnswerLost {
+        /// The fault says so.
+        Fault {
+            display("the answer is lost")
+        }
+    }
+}
