Apply in steps and abort idle writers of the upstream stand-in

A replica that rebuilds its state held the lock for its whole log, so that status reads waited; a paused client kept the one writer; a commit after such an abort would have been answered as done; a graceful stop always waited for the long polls of replicas; column types could come from a table that the statement does not mention. Change: applied entries are counted up to a limit per lock, idle writers give way to waiting ones, and a transaction remembers that it was the writer. Before/After: not measured. Conclusion: the state of a transaction is now checked at its commit.

--- a/chervildrift_standin/src/upstream/infer.rs
+++ b/chervildrift_standin/src/upstream/infer.rs
@@ -27,6 +27,7 @@
 /// Infers the types of a statement's parameters, in the order of their numbers.
 pub(super) fn params(sql: &str, schema: &Schema) -> Vec<Type> {
     let found = tokens(sql);
+    let schema = &mentioned(&found, schema);
     let mut types = Vec::new();
     for (index, token) in found.iter().enumerate() {
         let Kind::Param(number) = token.kind else {
@@ -43,6 +44,15 @@
     types.into_iter().map(text).collect()
 }
 
+/// Tables that a statement mentions, so that columns of other tables give no type.
+fn mentioned(found: &[Token<'_>], schema: &Schema) -> Schema {
+    let words = found.iter().filter(|token| token.kind == Kind::Word);
+    words
+        .filter_map(|token| schema.get_key_value(&token.name()))
+        .map(|(table, columns)| (table.clone(), columns.clone()))
+        .collect()
+}
+
 fn param(found: &[Token<'_>], index: usize, schema: &Schema) -> Option<Type> {
     cast_after(found, index)
         .or_else(|| inserted(found, index, schema))
@@ -135,6 +145,7 @@
 /// Infers the type of a computed result column.
 pub(super) fn column(sql: &str, index: usize, name: &str, schema: &Schema) -> Type {
     let found = tokens(sql);
+    let schema = &mentioned(&found, schema);
     let item = item(&found, index).unwrap_or_default();
     let item = if item.is_empty() { tokens(name) } else { item };
     expression(&item, schema)
--- a/chervildrift_standin/src/upstream/mod.rs
+++ b/chervildrift_standin/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 //! terms and positions, and replicates that log from its primary over the same protocol. Faults
 //! are switched by `SELECT chervildrift_fault(name, value)` or by the [`Handle`].
 
+mod activity;
 mod call;
 mod database;
 mod error;
@@ -45,6 +46,9 @@
 /// Time that a writer waits for the one before it.
 const DEFAULT_LOCK_WAIT: Duration = Duration::from_secs(2);
 
+/// Time after which an idle write transaction gives way to a waiting writer.
+const DEFAULT_IDLE_LIMIT: Duration = Duration::from_millis(500);
+
 /// Threads that serve one upstream.
 const DEFAULT_THREADS: usize = 2;
 
@@ -68,6 +72,10 @@
     pub connections: usize,
     /// Time after which a waiting writer gets a serialization failure.
     pub lock_wait: Duration,
+    /// Time after which a write transaction that runs no statement is aborted if a writer waits.
+    ///
+    /// Without it, one paused client would stop all writes, which row locks would not.
+    pub idle_limit: Duration,
     /// Time for which pulled entries are held back before they count as received.
     pub receive_lag: Duration,
     /// Time for which received entries are held back before they are applied.
@@ -86,6 +94,7 @@
             connect: Duration::ZERO,
             connections: DEFAULT_CONNECTIONS,
             lock_wait: DEFAULT_LOCK_WAIT,
+            idle_limit: DEFAULT_IDLE_LIMIT,
             receive_lag: Duration::ZERO,
             apply_lag: Duration::ZERO,
             threads: DEFAULT_THREADS,
--- a/chervildrift_standin/src/upstream/node.rs
+++ b/chervildrift_standin/src/upstream/node.rs
@@ -8,10 +8,12 @@
 //! everything else reads `committed`, so that no reader sees uncommitted changes.
 
 use std::collections::VecDeque;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::{OwnedSemaphorePermit, watch};
 
+use super::activity::Activity;
 use super::database::{Database, Description, Outcome};
 use super::error::SqlError;
 use super::log::{Entry, Log, Mark, Statement};
@@ -21,6 +23,9 @@
 /// Term that a group's first primary starts in.
 const FIRST_TERM: i64 = 1;
 
+/// Entries that are applied without giving the lock away.
+const APPLY_LIMIT: usize = 256;
+
 /// Role of an upstream.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Role {
@@ -55,6 +60,7 @@
 #[derive(Debug)]
 struct Writer {
     session: u64,
+    activity: Arc<Activity>,
     statements: Vec<Statement>,
     /// Returned when the transaction ends, which lets the next writer in.
     _permit: OwnedSemaphorePermit,
@@ -77,8 +83,8 @@
     applied: usize,
     /// Pulled entries that the receive lag still holds back, with their time of arrival.
     pending: VecDeque<(Instant, Entry)>,
-    /// Times at which the entries of the log after `applied` were received.
-    unapplied: VecDeque<Instant>,
+    /// Times of receipt of the last entries of the log, which the apply lag still holds back.
+    lagging: VecDeque<Instant>,
     heard: Option<Instant>,
     source: watch::Sender<Option<Source>>,
     /// Mark of the log's end, for pulls that wait for new entries.
@@ -100,7 +106,7 @@
             log: Log::default(),
             applied: 0,
             pending: VecDeque::new(),
-            unapplied: VecDeque::new(),
+            lagging: VecDeque::new(),
             heard: None,
             source: watch::Sender::new(None),
             tail: watch::Sender::new(Mark::default()),
@@ -174,7 +180,13 @@
             self.raise_fence(term);
         }
         let address = address.to_owned();
-        self.source.send_replace(Some(Source { address }));
+        let next = Some(Source { address });
+        // A repeated order must not interrupt the pull that it asks for.
+        self.source.send_if_modified(|source| {
+            let changed = *source != next;
+            source.clone_from(&next);
+            changed
+        });
         true
     }
 
@@ -260,11 +272,17 @@
     }
 
     /// Opens the write transaction of a session.
-    pub fn begin(&mut self, session: u64, permit: OwnedSemaphorePermit) -> Result<(), SqlError> {
+    pub fn begin(
+        &mut self,
+        session: u64,
+        activity: &Arc<Activity>,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<(), SqlError> {
         self.check_writable()?;
         self.work.run("BEGIN")?;
         self.writer = Some(Writer {
             session,
+            activity: Arc::clone(activity),
             statements: Vec::new(),
             _permit: permit,
         });
@@ -317,6 +335,14 @@
         }
     }
 
+    /// Aborts the open write transaction if it has run no statement for longer than the limit.
+    pub fn abort_idle_writer(&mut self, limit: Duration) {
+        let idle = |writer: &Writer| writer.activity.idle() > limit;
+        if self.writer.as_ref().is_some_and(idle) {
+            self.drop_writer();
+        }
+    }
+
     fn database(&self, session: u64) -> &Database {
         if self.is_writer(session) {
             &self.work
@@ -370,63 +396,70 @@
     }
 
     fn truncate(&mut self, position: i64) {
-        if position >= self.log.last().position {
-            return;
-        }
+        let before = self.log.len();
         self.log.truncate(position);
-        let kept = self.log.len();
-        if self.applied > kept {
-            self.unapplied.clear();
-            self.rebuild(kept);
-        } else {
-            self.unapplied.truncate(kept - self.applied);
+        let removed = before - self.log.len();
+        self.lagging
+            .truncate(self.lagging.len().saturating_sub(removed));
+        if self.applied > self.log.len() {
+            self.restart();
         }
         self.tail.send_replace(self.log.last());
     }
 
-    /// Builds the databases again from the first entries of the log.
-    fn rebuild(&mut self, length: usize) {
+    /// Empties the databases, so that `advance` applies the whole log again.
+    fn restart(&mut self) {
         self.abort_transactions();
         let databases = Database::open().and_then(|first| Ok((first, Database::open()?)));
-        let Ok((committed, work)) = databases else {
-            return;
-        };
-        self.committed = committed;
-        self.work = work;
-        self.applied = 0;
-        while self.applied < length {
-            self.apply_next();
+        // Opening a database in memory fails only without memory, which nothing here outlives.
+        if let Ok((committed, work)) = databases {
+            self.committed = committed;
+            self.work = work;
+            self.applied = 0;
         }
     }
 
-    /// Moves entries on whose lag has passed; returns when the next one is due.
+    /// Moves entries on whose lag has passed; returns when to call again.
+    ///
+    /// Applies a limited number of entries, so that status reads get their turn in between.
     pub fn advance(&mut self, now: Instant, lags: Lags) -> Option<Instant> {
-        while let Some(&(arrived, _)) = self.pending.front()
-            && arrived + lags.receive <= now
+        self.receive_due(now, lags.receive);
+        while self
+            .lagging
+            .front()
+            .is_some_and(|at| *at + lags.apply <= now)
         {
-            let Some((_, entry)) = self.pending.pop_front() else {
-                break;
-            };
-            if !self.log.receive(entry) {
-                self.pending.clear();
-                break;
-            }
-            self.unapplied.push_back(now);
-            self.tail.send_replace(self.log.last());
+            self.lagging.pop_front();
         }
-        while let Some(&received) = self.unapplied.front()
-            && received + lags.apply <= now
-        {
+        let due = self.log.len() - self.lagging.len();
+        let end = due.min(self.applied + APPLY_LIMIT);
+        while self.applied < end {
             self.apply_next();
-            self.unapplied.pop_front();
+        }
+        if self.applied < due {
+            return Some(now);
         }
         let receive = self.pending.front().map(|(at, _)| *at + lags.receive);
-        let apply = self.unapplied.front().map(|at| *at + lags.apply);
+        let apply = self.lagging.front().map(|at| *at + lags.apply);
         receive.into_iter().chain(apply).min()
     }
 
+    fn receive_due(&mut self, now: Instant, lag: Duration) {
+        let due = |(at, _): &(Instant, Entry)| *at + lag <= now;
+        let count = self.pending.iter().take_while(|item| due(item)).count();
+        if count == 0 {
+            return;
+        }
+        for (_, entry) in self.pending.drain(..count) {
+            if self.log.receive(entry) {
+                self.lagging.push_back(now);
+            }
+        }
+        self.tail.send_replace(self.log.last());
+    }
+
     fn apply_all(&mut self) {
-        self.unapplied.clear();
+        self.lagging.clear();
         while self.applied < self.log.len() {
             self.apply_next();
         }
--- a/chervildrift_standin/src/upstream/session.rs
+++ b/chervildrift_standin/src/upstream/session.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use super::activity::Activity;
 use super::call;
 use super::database::{Description, Outcome};
 use super::error::SqlError;
@@ -42,6 +43,8 @@
     epoch: u64,
     /// Whether a statement has failed, so that only the end is taken.
     failed: bool,
+    /// Whether the transaction has become the one writer.
+    writer: bool,
     /// Statement time that is charged after the end.
     owed: Duration,
 }
@@ -56,7 +59,7 @@
     pub counted: AtomicBool,
     id: u64,
     transaction: Mutex<Option<Transaction>>,
-    in_batch: AtomicBool,
+    activity: Arc<Activity>,
 }
 
 impl Session {
@@ -68,7 +71,7 @@
             kill: Notify::new(),
             counted: AtomicBool::new(false),
             transaction: Mutex::new(None),
-            in_batch: AtomicBool::new(false),
+            activity: Arc::new(Activity::new()),
         }
     }
 
@@ -83,15 +86,17 @@
 
     /// Starts a batch of statements, which the delay fault delays once.
     pub async fn start_batch(&self) {
-        if !self.in_batch.swap(true, Ordering::SeqCst) {
-            self.shared.busy.fetch_add(1, Ordering::SeqCst);
+        if self.activity.start() {
+            if self.is_counted() {
+                self.shared.busy.fetch_add(1, Ordering::SeqCst);
+            }
             sleep_some(self.shared.faults.duration(Fault::DelayMs)).await;
         }
     }
 
     /// Ends a batch of statements.
     pub fn end_batch(&self) {
-        if self.in_batch.swap(false, Ordering::SeqCst) {
+        if self.activity.end() && self.is_counted() {
             self.shared.busy.fetch_sub(1, Ordering::SeqCst);
         }
     }
@@ -125,11 +130,13 @@
 
     /// Starts the transaction that surrounds several statements of one simple query.
     pub fn begin(&self) {
+        let epoch = self.shared.node().epoch();
         let mut transaction = self.transaction();
         if transaction.is_none() {
             *transaction = Some(Transaction {
-                epoch: self.shared.node().epoch(),
+                epoch,
                 failed: false,
+                writer: false,
                 owed: Duration::ZERO,
             });
         }
@@ -212,7 +219,7 @@
         let permit = self.shared.writer().await?;
         let outcome = {
             let mut node = self.shared.node();
-            node.begin(self.id, permit)?;
+            node.begin(self.id, &self.activity, permit)?;
             let outcome = node.write(self.id, command, params);
             if outcome.is_err() {
                 node.rollback(self.id);
@@ -227,15 +234,27 @@
 
     /// Runs a write in the open transaction, which becomes the one writer first.
     async fn write(&self, command: &Command, params: &[Value]) -> Result<Outcome, SqlError> {
-        if !self.shared.node().is_writer(self.id) {
-            let permit = self.shared.writer().await?;
-            let mut node = self.shared.node();
-            self.check_epoch(&node)?;
-            node.begin(self.id, permit)?;
+        let is_writer = self.transaction().as_ref().is_some_and(|open| open.writer);
+        if !is_writer {
+            self.become_writer().await?;
         }
+        // Fails if the transaction has been aborted since.
+        self.shared.node().write(self.id, command, params)
+    }
+
+    async fn become_writer(&self) -> Result<(), SqlError> {
+        let permit = self.shared.writer().await?;
         let mut node = self.shared.node();
-        self.check_epoch(&node)?;
-        node.write(self.id, command, params)
+        let mut transaction = self.transaction();
+        let Some(open) = transaction
+            .as_mut()
+            .filter(|open| open.epoch == node.epoch())
+        else {
+            return Err(SqlError::aborted());
+        };
+        node.begin(self.id, &self.activity, permit)?;
+        open.writer = true;
+        Ok(())
     }
 
     /// Runs a savepoint statement, which has no effect where nothing can be written.
@@ -252,14 +271,13 @@
 
     fn commit_writes(&self, ended: &Transaction) -> Result<bool, SqlError> {
         let mut node = self.shared.node();
-        if node.epoch() != ended.epoch {
+        if !self.is_intact(ended, &node) {
             return Err(SqlError::aborted());
         }
-        let wrote = node.is_writer(self.id);
-        if wrote {
+        if ended.writer {
             node.commit(self.id)?;
         }
-        Ok(wrote)
+        Ok(ended.writer)
     }
 
     /// Takes the time of one statement, at once or on account of the open write transaction.
@@ -271,6 +289,7 @@
         }
         let slow = self.shared.faults.duration(Fault::SlowStatementMs);
         sleep_some(if deferred { slow } else { time + slow }).await;
+        self.shared.faults.thawed().await;
     }
 
     /// Refuses a statement in a transaction that has failed or was aborted.
@@ -284,18 +303,21 @@
         if ends || switches {
             return Ok(());
         }
+        let node = self.shared.node();
         match &*self.transaction() {
             Some(open) if open.failed => Err(SqlError::failed_transaction()),
-            Some(open) if open.epoch != self.shared.node().epoch() => Err(SqlError::aborted()),
+            Some(open) if !self.is_intact(open, &node) => Err(SqlError::aborted()),
             _ => Ok(()),
         }
     }
 
-    fn check_epoch(&self, node: &Node) -> Result<(), SqlError> {
-        match &*self.transaction() {
-            Some(open) if open.epoch == node.epoch() => Ok(()),
-            _ => Err(SqlError::aborted()),
-        }
+    /// Tells whether the upstream has not aborted a transaction.
+    fn is_intact(&self, open: &Transaction, node: &Node) -> bool {
+        open.epoch == node.epoch() && (!open.writer || node.is_writer(self.id))
+    }
+
+    fn is_counted(&self) -> bool {
+        self.counted.load(Ordering::SeqCst)
     }
 
     /// Marks the open transaction as failed after an error.
@@ -317,7 +339,7 @@
     fn drop(&mut self) {
         self.end_batch();
         self.shared.node().rollback(self.id);
-        if self.counted.load(Ordering::SeqCst) {
+        if self.is_counted() {
             self.shared.connections.fetch_sub(1, Ordering::SeqCst);
         }
     }
--- a/chervildrift_standin/src/upstream/shared.rs
+++ b/chervildrift_standin/src/upstream/shared.rs
@@ -1,17 +1,22 @@
 //! State that all connections and tasks of one upstream share.
 
+use std::convert::Infallible;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
+use tokio::select;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::Options;
 use super::error::{Error, SqlError, code};
 use super::faults::{Fault, Faults};
 use super::node::{Lags, Node, Role};
 
+/// Pause between two looks of a waiting writer at the one before it.
+const IDLE_POLL: Duration = Duration::from_millis(20);
+
 /// Upstream as its tasks see it.
 #[derive(Debug)]
 pub(super) struct Shared {
@@ -19,7 +24,7 @@
     pub faults: Faults,
     /// Connections that count against the limit.
     pub connections: AtomicUsize,
-    /// Statements and transactions in progress, which a graceful stop waits for.
+    /// Batches of statements in progress, which a graceful stop waits for.
     pub busy: AtomicUsize,
     /// Wakes the task that moves lagging entries on.
     pub lagging: Notify,
@@ -71,13 +76,26 @@
     /// Waits to become the one writer.
     pub async fn writer(&self) -> Result<OwnedSemaphorePermit, SqlError> {
         let writer = Arc::clone(&self.writer).acquire_owned();
-        if let Ok(Ok(permit)) = timeout(self.options.lock_wait, writer).await {
+        let permit = select! {
+            permit = timeout(self.options.lock_wait, writer) => permit,
+            never = self.abort_idle_writers() => match never {},
+        };
+        self.faults.thawed().await;
+        if let Ok(Ok(permit)) = permit {
             return Ok(permit);
         }
         let message = "could not serialize access: another transaction is writing";
         Err(SqlError::new(code::SERIALIZATION_FAILURE, message))
     }
 
+    /// Aborts the write transaction whenever it has been idle for too long.
+    async fn abort_idle_writers(&self) -> Infallible {
+        loop {
+            self.node().abort_idle_writer(self.options.idle_limit);
+            sleep(IDLE_POLL).await;
+        }
+    }
+
     /// Moves entries on whose lag has passed; returns when the next one is due.
     pub fn advance(&self) -> Option<Instant> {
         let lags = Lags {
--- a/chervildrift_standin/src/upstream/wire.rs
+++ b/chervildrift_standin/src/upstream/wire.rs
@@ -66,6 +66,13 @@
         self.session.shared.faults.thawed().await;
     }
 
+    /// Holds an answer back while the upstream is frozen.
+    async fn hold_answer(&self, sql: &str) {
+        if !sql.contains(FAULT_FUNCTION) {
+            self.session.shared.faults.thawed().await;
+        }
+    }
+
     /// Runs the statements of a simple query; several without BEGIN are one transaction.
     async fn run_all<C>(&self, client: &mut C, sql: &str) -> PgWireResult<()>
     where
@@ -107,7 +114,9 @@
         PgWireError: From<<C as Sink<PgWireBackendMessage>>::Error>,
     {
         let columns = self.session.describe(command)?.columns;
-        let reply = self.session.run(command, &[]).await?;
+        let reply = self.session.run(command, &[]).await;
+        self.hold_answer(&command.text).await;
+        let reply = reply?;
         match response(reply, &columns, &Format::UnifiedText)? {
             Response::Query(rows) => send_query_response(client, rows, true).await,
             Response::Execution(tag)
@@ -353,7 +362,9 @@
         let columns = &prepared.description.columns;
         check_formats(columns, &portal.result_column_format)?;
         let params = decode(portal, &prepared.description.params)?;
-        let reply = self.session.run(&prepared.command, &params).await?;
+        let reply = self.session.run(&prepared.command, &params).await;
+        self.hold_answer(&prepared.command.text).await;
+        let reply = reply?;
         response(reply, columns, &portal.result_column_format)
     }
 }
