Let a stopping VM tell its peers before it closes

Ruled out: relaxing the assertion, since a planned stop must leave no outcome open; closing from the server after a pause, which only narrows the window. Change: the side that connects offers a Caller capability; a stopping VM calls leaving() on it, refuses further calls as not taken and waits for the peers to close. Accepting runs on a task of its own, so that a failed accept does not delay calls. busy_stop stops a VM under 32 callers. The tests answer pings. Conclusion: calls during a planned stop are answered or known not to be taken.

--- a/chervildrift/schema/peer.capnp
+++ b/chervildrift/schema/peer.capnp
@@ -53,6 +53,13 @@
   ping @6 () -> (refused :Bool, pong :Pong);
 }
 
+interface Caller {
+  # Offered by the side that connects.
+  leaving @0 () -> ();
+  # The listening side is about to stop: it refuses further calls, and it waits for the connection
+  # to be closed once the calls in flight are answered.
+}
+
 enum Rank {
   urgent @0;
   routine @1;
--- a/chervildrift/src/peer/context.rs
+++ b/chervildrift/src/peer/context.rs
@@ -21,10 +21,8 @@
     pub inbound: mpsc::Sender<Inbound>,
     /// Counters.
     pub counts: Arc<Counts>,
-    /// Inbound calls that wait for their answer.
-    pub serving: Cell<usize>,
     /// Set when no further calls are taken.
     pub stopping: Cell<bool>,
-    /// Turns true when the connections are to be closed.
+    /// Turns true when the inbound connections are to end; each holds a receiver.
     pub closing: watch::Sender<bool>,
 }
--- a/chervildrift/src/peer/link.rs
+++ b/chervildrift/src/peer/link.rs
@@ -14,7 +14,7 @@
 use super::context::Context;
 use super::message::Inbound;
 use super::opening::{Opening, Ready};
-use super::watch::Watch;
+use super::watch::{Turn, Watch};
 
 /// State of the connection of a link.
 enum State {
@@ -24,6 +24,8 @@
     Refused { until: Instant, error: Error },
     /// The connection opens or is open.
     Open(Watch),
+    /// The peer is about to stop; the connection is closed after the calls in flight.
+    Leaving(Watch),
 }
 
 /// One outgoing link.
@@ -49,8 +51,11 @@
                 Some(order) => link.take(order),
                 None => break,
             },
-            Some(()) = link.calls.next() => {}
-            error = lost(&mut link.state) => link.fail(&error),
+            Some(()) = link.calls.next() => link.settle(),
+            turn = turn(&mut link.state) => match turn {
+                Turn::Lost(error) => link.fail(&error),
+                Turn::Leaving => link.leave(),
+            },
             due = ticks.tick() => {
                 link.tick(due);
                 // Nothing can enter the queue between this check and the drop of the receiver.
@@ -63,10 +68,10 @@
     link.drain().await;
 }
 
-/// Waits until the connection fails to open or is lost.
-async fn lost(state: &mut State) -> Error {
+/// Waits until something happens to the connection.
+async fn turn(state: &mut State) -> Turn {
     match state {
-        State::Open(watch) => watch.lost().await,
+        State::Open(watch) | State::Leaving(watch) => watch.turn().await,
         State::Closed | State::Refused { .. } => std::future::pending().await,
     }
 }
@@ -105,6 +110,7 @@
             State::Refused { until, error } if Instant::now() < *until => {
                 return Err(error.clone());
             }
+            State::Leaving(_) => return Err(Error::Refused),
             State::Refused { .. } | State::Closed => {}
         }
         let watch = Watch::open(Opening::start(&self.context, self.peer));
@@ -119,7 +125,7 @@
         if !self.calls.is_empty() {
             self.used = now;
         }
-        let State::Open(watch) = &mut self.state else {
+        let (State::Open(watch) | State::Leaving(watch)) = &mut self.state else {
             return;
         };
         if now.saturating_duration_since(due) >= self.context.limits.ping {
@@ -153,16 +159,39 @@
 
     /// Returns the state after a failure.
     fn closed(&self, error: &Error) -> State {
-        let opened = matches!(&self.state, State::Open(watch) if watch.opened());
-        if opened && !matches!(error, Error::Unresponsive { .. }) {
+        let (State::Open(watch) | State::Leaving(watch)) = &self.state else {
+            return State::Closed;
+        };
+        if watch.opened() && !matches!(error, Error::Unresponsive { .. }) {
             return State::Closed;
         }
+        self.refused(error)
+    }
+
+    /// Returns the state that fails calls with the error for a while.
+    fn refused(&self, error: &Error) -> State {
         State::Refused {
             until: Instant::now() + self.context.limits.refusal,
             error: error.for_call(false),
         }
     }
 
+    /// Sends nothing more over the connection, since the peer is about to stop.
+    fn leave(&mut self) {
+        let state = std::mem::replace(&mut self.state, State::Closed);
+        if let State::Open(watch) = state {
+            self.state = State::Leaving(watch);
+        }
+        self.settle();
+    }
+
+    /// Closes the connection to a peer that is about to stop after its last answer.
+    fn settle(&mut self) {
+        if self.calls.is_empty() && matches!(self.state, State::Leaving(_)) {
+            self.state = self.refused(&Error::Refused);
+        }
+    }
+
     /// Finishes the calls in flight; no further ones come.
     async fn drain(&mut self) {
         while self.calls.next().await.is_some() {}
--- a/chervildrift/src/peer/listener.rs
+++ b/chervildrift/src/peer/listener.rs
@@ -13,6 +13,7 @@
 use super::Error;
 use super::connection::Streams;
 use super::context::Context;
+use super::peer_capnp::caller;
 use super::peer_capnp::peer::Client;
 use super::server::{Activity, Server};
 
@@ -101,17 +102,17 @@
     let server = Server::open(context, from, &activity);
     let client: Client = capnp_rpc::new_client(server);
     let mut system = streams.start(Side::Server, Some(client.client));
-    let disconnector = system.get_disconnector();
     let mut closing = context.closing.subscribe();
     tokio::select! {
         // The peer knows why its connection ended.
         _ = &mut system => return,
+        () = unused(context, &activity) => return,
         _ = closing.wait_for(|closing| *closing) => {}
-        () = unused(context, &activity) => {}
     }
-    // Writes the answers that are still queued before the socket is closed.
-    let (closed, _) = futures::join!(disconnector, system);
-    drop(closed);
+    let caller: caller::Client = system.bootstrap(Side::Client);
+    // The peer closes the connection after its last answer; a failed notice means that it has.
+    let notice = caller.leaving_request().send().promise;
+    let _ = futures::join!(system, notice);
 }
 
 /// Waits until the peer has made no call for twice the time after which it closes an idle link.
--- a/chervildrift/src/peer/mod.rs
+++ b/chervildrift/src/peer/mod.rs
@@ -70,7 +70,6 @@
         limits: options.limits,
         inbound,
         counts: shared,
-        serving: Cell::new(0),
         stopping: Cell::new(false),
         closing: tokio::sync::watch::channel(false).0,
     };
--- a/chervildrift/src/peer/server.rs
+++ b/chervildrift/src/peer/server.rs
@@ -36,22 +36,20 @@
 
 /// Counts a call while it waits for its answer.
 #[derive(Debug)]
-struct Serving<'a>(&'a Server);
+struct Serving<'a>(&'a Activity);
 
 impl<'a> Serving<'a> {
-    fn open(server: &'a Server) -> Self {
-        server.context.serving.update(|calls| calls + 1);
-        server.activity.calls.update(|calls| calls + 1);
-        server.activity.last.set(Instant::now());
-        Self(server)
+    fn open(activity: &'a Activity) -> Self {
+        activity.calls.update(|calls| calls + 1);
+        activity.last.set(Instant::now());
+        Self(activity)
     }
 }
 
 impl Drop for Serving<'_> {
     fn drop(&mut self) {
-        self.0.context.serving.update(|calls| calls - 1);
-        self.0.activity.calls.update(|calls| calls - 1);
-        self.0.activity.last.set(Instant::now());
+        self.0.calls.update(|calls| calls - 1);
+        self.0.last.set(Instant::now());
     }
 }
 
@@ -77,7 +75,7 @@
         if self.context.inbound.try_send(make(reply)).is_err() {
             return Ok(self.refuse());
         }
-        let _serving = Serving::open(self);
+        let _serving = Serving::open(&self.activity);
         match answer.await {
             Ok(answer) => Ok(Some(answer)),
             Err(_) => Err(Error::failed("the call was dropped".into())),
--- a/chervildrift/src/peer/thread.rs
+++ b/chervildrift/src/peer/thread.rs
@@ -6,10 +6,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
-use tokio::task::{JoinSet, LocalSet};
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::task::{JoinSet, LocalSet, spawn_local};
+use tokio::time::{sleep, timeout};
 
 use super::Error;
 use super::call::Order;
@@ -20,12 +20,6 @@
 /// Pause after a failed accept, which mostly means that no file descriptor is free.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Time between two looks at the calls that a stop waits for.
-const STOP_POLL: Duration = Duration::from_millis(2);
-
-/// Time for writing the last answers of a stop.
-const FLUSH_TIME: Duration = Duration::from_millis(500);
-
 /// Commands taken at once.
 const BATCH: usize = 256;
 
@@ -45,11 +39,20 @@
 /// State of the peer thread.
 struct Peers {
     context: Rc<Context>,
-    listener: Listener,
     links: HashMap<SocketAddr, mpsc::Sender<Order>>,
     tasks: JoinSet<()>,
 }
 
+/// Admits inbound connections.
+async fn accept(listener: TcpListener, door: Listener) {
+    loop {
+        match listener.accept().await {
+            Ok((socket, _)) => door.admit(socket),
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+}
+
 /// Starts the thread.
 pub fn spawn(
     make: impl FnOnce() -> Context + Send + 'static,
@@ -75,7 +78,6 @@
 impl Peers {
     fn open(context: Rc<Context>) -> Self {
         Self {
-            listener: Listener::open(&context),
             context,
             links: HashMap::new(),
             tasks: JoinSet::new(),
@@ -84,6 +86,7 @@
 
     /// Runs until a stop is asked for or all handles are dropped.
     async fn run(mut self, listener: TcpListener, mut commands: mpsc::Receiver<Command>) {
+        let accepting = spawn_local(accept(listener, Listener::open(&self.context)));
         let mut batch = Vec::with_capacity(BATCH);
         loop {
             tokio::select! {
@@ -92,11 +95,10 @@
                         return;
                     }
                     if let Some((grace, done)) = self.take(&mut batch) {
-                        drop(listener);
+                        accepting.abort();
                         return self.stop(&mut commands, grace, done).await;
                     }
                 }
-                accepted = listener.accept() => self.accept(accepted).await,
                 Some(_) = self.tasks.join_next() => {}
             }
         }
@@ -117,13 +119,6 @@
         stop
     }
 
-    async fn accept(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
-        match accepted {
-            Ok((socket, _)) => self.listener.admit(socket),
-            Err(_) => sleep(ACCEPT_PAUSE).await,
-        }
-    }
-
     /// Passes a call to the link of its peer, which is made if there is none.
     fn call(&mut self, peer: SocketAddr, order: Order) {
         let Some(link) = self.links.get(&peer) else {
@@ -148,43 +143,39 @@
         self.links.insert(peer, sender);
     }
 
-    /// Waits for the calls in flight both ways, then closes all connections.
+    /// Waits for the calls in flight both ways, and until all peers have closed their links.
     async fn stop(
         mut self,
         commands: &mut mpsc::Receiver<Command>,
         grace: Duration,
         done: oneshot::Sender<()>,
     ) {
-        let limit = Instant::now() + grace;
+        let mut waiting = vec![done];
         self.context.stopping.set(true);
+        self.context.closing.send_replace(true);
         self.links.clear();
         commands.close();
-        // An elapsed limit cuts the calls that are left.
-        let _ = timeout_at(limit, self.finish(commands)).await;
-        self.context.closing.send_replace(true);
-        let flush = Instant::now() + FLUSH_TIME;
-        let _ = timeout_at(flush, self.context.closing.closed()).await;
-        // Whoever asked may have stopped waiting.
-        let _ = done.send(());
+        // What is left after the grace time is cut.
+        let _ = timeout(grace, self.finish(commands, &mut waiting)).await;
+        for done in waiting {
+            // Whoever asked may have stopped waiting.
+            let _ = done.send(());
+        }
     }
 
-    /// Waits until no call is in flight either way.
-    async fn finish(&mut self, commands: &mut mpsc::Receiver<Command>) {
+    /// Waits until no call is in flight and no inbound connection is left.
+    async fn finish(
+        &mut self,
+        commands: &mut mpsc::Receiver<Command>,
+        waiting: &mut Vec<oneshot::Sender<()>>,
+    ) {
         while let Some(command) = commands.recv().await {
-            refuse(command);
+            match command {
+                Command::Call { order, .. } => order.fail(&Error::Stopped { sent: false }),
+                Command::Stop { done, .. } => waiting.push(done),
+            }
         }
         while self.tasks.join_next().await.is_some() {}
-        while self.context.serving.get() > 0 {
-            sleep(STOP_POLL).await;
-        }
-    }
-}
-
-/// Refuses a command that came after the stop.
-fn refuse(command: Command) {
-    match command {
-        Command::Call { order, .. } => order.fail(&Error::Stopped { sent: false }),
-        // The first stop is on its way; this one is over when the thread ends.
-        Command::Stop { done, .. } => drop(done),
+        self.context.closing.closed().await;
     }
 }
--- a/chervildrift/src/peer/watch.rs
+++ b/chervildrift/src/peer/watch.rs
@@ -16,6 +16,14 @@
     answer: LocalBoxFuture<'static, capnp::Result<()>>,
 }
 
+/// What happens to a connection.
+pub enum Turn {
+    /// It failed to open or was lost.
+    Lost(Error),
+    /// The peer is about to stop.
+    Leaving,
+}
+
 /// Connection of a link from its opening to its loss.
 ///
 /// Dropping it closes the connection.
@@ -25,6 +33,8 @@
     ping: Option<Ping>,
     /// Resolves when the connection has ended.
     ended: oneshot::Receiver<()>,
+    /// Resolves when the peer is about to stop; `None` once it has.
+    leaving: Option<oneshot::Receiver<()>>,
     /// Closes the connection when it is dropped.
     _stop: oneshot::Sender<()>,
 }
@@ -37,6 +47,7 @@
             client: None,
             ping: None,
             ended: opening.ended,
+            leaving: Some(opening.leaving),
             _stop: opening.stop,
         }
     }
@@ -51,19 +62,20 @@
         self.client.is_some()
     }
 
-    /// Waits until the connection fails to open or is lost.
+    /// Waits until the connection fails to open, is lost or is to be given up.
     ///
     /// Cancelling the wait loses nothing.
-    pub async fn lost(&mut self) -> Error {
+    pub async fn turn(&mut self) -> Turn {
         if self.client.is_none() {
             match self.ready.clone().await {
                 Ok(client) => self.client = Some(client),
-                Err(error) => return error,
+                Err(error) => return Turn::Lost(error),
             }
         }
         loop {
             tokio::select! {
-                _ = &mut self.ended => return Error::Disconnected { sent: true },
+                _ = &mut self.ended => return Turn::Lost(Error::Disconnected { sent: true }),
+                () = notice(&mut self.leaving) => return Turn::Leaving,
                 () = pong(&mut self.ping) => self.ping = None,
             }
         }
@@ -99,6 +111,19 @@
     }
 }
 
+/// Waits for the notice that the peer is about to stop.
+async fn notice(leaving: &mut Option<oneshot::Receiver<()>>) {
+    let result = match leaving {
+        Some(receiver) => receiver.await,
+        None => std::future::pending().await,
+    };
+    *leaving = None;
+    if result.is_err() {
+        // The connection has ended, which is reported elsewhere.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Waits for the pong; a failed ping counts as unanswered.
 async fn pong(ping: &mut Option<Ping>) {
     if let Some(waiting) = ping {
--- a/chervildrift/src/peer_capnp.rs
+++ b/chervildrift/src/peer_capnp.rs
@@ -4232,6 +4232,435 @@
     }
 }
 
+
+pub mod caller {
+    #![allow(unused_variables)]
+    pub type LeavingParams<> = ::capnp::capability::Params<crate::peer::peer_capnp::caller::leaving_params::Owned>;
+    pub type LeavingResults<> = ::capnp::capability::Results<crate::peer::peer_capnp::caller::leaving_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn leaving_request(&self) -> ::capnp::capability::Request<crate::peer::peer_capnp::caller::leaving_params::Owned,crate::peer::peer_capnp::caller::leaving_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn leaving(self: ::capnp::capability::Rc<Self>, _: LeavingParams<>, _: LeavingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method caller::Server::leaving not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::leaving(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xafad_c898_f1a4_56e8;
+    }
+
+    pub mod leaving_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(196, 102, 125, 181, 176, 1, 104, 251),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 10, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 97, 108, 108, 101),
+                ::capnp::word(114, 46, 108, 101, 97, 118, 105, 110),
+                ::capnp::word(103, 36, 80, 97, 114, 97, 109, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xfb68_01b0_b57d_66c4;
+        }
+    }
+
+    pub mod leaving_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(164, 228, 207, 26, 32, 158, 179, 230),
+                ::capnp::word(18, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 18, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 67, 97, 108, 108, 101),
+                ::capnp::word(114, 46, 108, 101, 97, 118, 105, 110),
+                ::capnp::word(103, 36, 82, 101, 115, 117, 108, 116),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe6b3_9e20_1acf_e4a4;
+        }
+    }
+}
+
 #[repr(u16)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Rank {
--- a/chervildrift/tests/peer_forward.rs
+++ b/chervildrift/tests/peer_forward.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use chervildrift::peer::message::{GroupState, Handover, Step, UpstreamState};
-use chervildrift::peer::{Error, Inbound, Reply, State};
+use chervildrift::peer::{Error, Reply, State};
 use chervildrift_core::types::{GroupId, Mark, Term};
-use support::{KEY, bind, caller, options, request, serve, within};
+use support::{KEY, bind, caller, forwarded, options, request, serve, within};
 
 /// Guards against a field of a request or reply that is lost or changed on the way.
 #[tokio::test]
@@ -38,9 +38,7 @@
     let client = caller();
     let call = client.forward(server.address(), sent.clone(), within(1000));
     let serve = async {
-        let Some(Inbound::Forward { request, reply: to }) = inbound.recv().await else {
-            panic!("another call");
-        };
+        let (request, to) = forwarded(&mut inbound).await;
         to.send(reply.clone()).unwrap();
         request
     };
@@ -91,9 +89,7 @@
     let left = tokio::time::timeout(Duration::from_millis(100), call).await;
     left.unwrap_err();
     for _ in 0..2 {
-        let Some(Inbound::Forward { mut reply, .. }) = inbound.recv().await else {
-            panic!("another call");
-        };
+        let (_, mut reply) = forwarded(&mut inbound).await;
         let closed = tokio::time::timeout(Duration::from_secs(1), reply.closed());
         closed.await.expect("the server still works for nobody");
     }
@@ -107,9 +103,7 @@
     let to = server.address();
     let call = client.forward(to, request("k"), within(2000));
     let stop = async {
-        let Some(Inbound::Forward { request, reply }) = inbound.recv().await else {
-            panic!("another call");
-        };
+        let (request, reply) = forwarded(&mut inbound).await;
         let clone = server.clone();
         let stopped = tokio::spawn(async move { clone.stop(Duration::from_secs(1)).await });
         tokio::time::sleep(Duration::from_millis(50)).await;
@@ -123,3 +117,29 @@
     let own = server.ping(to, within(1000)).await;
     assert_eq!(own.unwrap_err(), Error::Stopped { sent: false });
 }
+
+/// Guards against a planned stop that leaves the outcome of a call open.
+#[tokio::test]
+async fn busy_stop() {
+    let server = serve("server");
+    let client = caller();
+    let to = server.address();
+    let callers = (0..32).map(|_| {
+        let client = client.clone();
+        tokio::spawn(async move {
+            loop {
+                match client.forward(to, request("k"), within(2000)).await {
+                    Ok(reply) => assert_eq!(reply.state, State::Done),
+                    Err(error) => return error,
+                }
+            }
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    server.stop(Duration::from_secs(1)).await;
+    for caller in callers {
+        let error = caller.await.unwrap();
+        assert!(!error.sent(), "{error}");
+    }
+}
--- a/chervildrift/tests/support/mod.rs
+++ b/chervildrift/tests/support/mod.rs
@@ -8,7 +8,7 @@
 use chervildrift::peer::message::{Access, Idempotency, Pong, Statement};
 use chervildrift::peer::{self, FleetKey, Handle, Inbound, Limits, Options, Reply, Request, State};
 use chervildrift_core::types::{Mark, Rank, Vm};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 pub const KEY: &[u8] = b"a fleet key for tests";
 
@@ -47,6 +47,16 @@
     bind(options("caller", KEY)).0
 }
 
+/// Waits for a forwarded request and answers other calls, such as pings.
+pub async fn forwarded(inbound: &mut mpsc::Receiver<Inbound>) -> (Request, oneshot::Sender<Reply>) {
+    loop {
+        match inbound.recv().await.unwrap() {
+            Inbound::Forward { request, reply } => return (request, reply),
+            other => answer(other),
+        }
+    }
+}
+
 pub fn answer(call: Inbound) {
     match call {
         Inbound::Forward { request, reply } | Inbound::Transaction { request, reply, .. } => {
