Measure forwarded requests between two processes

Cause: the target is 50,000 forwarded requests/s on a 10-core machine, and the link had not been measured. Ruled out: the criterion harness, since the figure is a rate over many calls in flight between two processes and not the time of one function. Change: benches/peer_forward.rs, a plain main that starts itself as the server. Before: not measured.

--- /dev/null
+++ b/chervildrift/benches/peer_forward.rs
@@ -0,0 +1,168 @@
+//! Measures forwarded requests per second between two processes.
+//!
+//! The program starts itself a second time as the serving process. Arguments: `--seconds N`,
+//! `--callers N` (calls in flight), `--threads N` (runtime threads of the callers).
+
+use std::io::{BufRead as _, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use chervildrift::peer::message::{Access, Pong, Statement};
+use chervildrift::peer::{self, FleetKey, Handle, Inbound, Limits, Options, Reply, Request, State};
+use chervildrift_core::types::{Mark, Rank, Vm};
+use hdrhistogram::Histogram;
+use tokio::sync::mpsc;
+
+type Failure = Box<dyn std::error::Error + Send + Sync>;
+
+/// Argument that makes the program serve.
+const SERVE: &str = "--serve";
+
+fn main() -> Result<(), Failure> {
+    let serves = std::env::args().any(|argument| argument == SERVE);
+    let threads = number("--threads", 2);
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(if serves { 1 } else { threads })
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        if serves {
+            serve().await
+        } else {
+            measure().await
+        }
+    })
+}
+
+/// Returns the number after an option, or its default.
+fn number(option: &str, default: usize) -> usize {
+    let mut arguments = std::env::args().skip_while(|argument| argument != option);
+    arguments
+        .nth(1)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(default)
+}
+
+fn bind(name: &str) -> Result<(Handle, mpsc::Receiver<Inbound>), Failure> {
+    let (sender, inbound) = mpsc::channel(65_536);
+    let options = Options {
+        address: SocketAddr::from(([127, 0, 0, 1], 0)),
+        name: Vm::from(name),
+        key: FleetKey::open(b"a fleet key for measurements")?,
+        limits: Limits::default(),
+    };
+    Ok((peer::bind(options, sender)?, inbound))
+}
+
+/// Answers calls as an event loop without work of its own would.
+async fn serve() -> Result<(), Failure> {
+    let (handle, mut inbound) = bind("server")?;
+    println!("{}", handle.address());
+    while let Some(call) = inbound.recv().await {
+        match call {
+            Inbound::Forward { request, reply } => drop(reply.send(done(&request))),
+            Inbound::Ping { reply } => drop(reply.send(Pong::default())),
+            _ => {}
+        }
+    }
+    Ok(())
+}
+
+fn done(request: &Request) -> Reply {
+    Reply {
+        state: State::Done,
+        answer: b"[[1]]".to_vec(),
+        mark: request.token,
+        group: None,
+        load: [0; 3],
+        generation: request.generation,
+    }
+}
+
+fn request(id: u64) -> Request {
+    Request {
+        id,
+        service: "ring-ledger".into(),
+        kind: "confirm".into(),
+        key: "farm-1".into(),
+        caller: "caller-1".into(),
+        rank: Rank::Urgent,
+        upstream: "ring-1-a".into(),
+        statements: vec![Statement {
+            sql: "SELECT id FROM booking WHERE id = $1".into(),
+            params: "[1]".into(),
+        }],
+        token: Some(Mark::new(1, 1)),
+        age_bound: None,
+        remaining: Duration::ZERO,
+        idempotency: None,
+        access: Access::Read,
+        transaction: None,
+        generation: 1,
+    }
+}
+
+/// Starts the serving process and reads its address.
+fn start() -> Result<(Child, SocketAddr), Failure> {
+    let mut child = Command::new(std::env::current_exe()?)
+        .arg(SERVE)
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let output = child.stdout.take().ok_or("no output")?;
+    let mut line = String::new();
+    BufReader::new(output).read_line(&mut line)?;
+    Ok((child, line.trim().parse()?))
+}
+
+async fn measure() -> Result<(), Failure> {
+    let (mut child, server) = start()?;
+    let (handle, _inbound) = bind("caller")?;
+    let callers = number("--callers", 512);
+    let span = Duration::from_secs(number("--seconds", 5) as u64);
+    let failed = Arc::new(AtomicU64::new(0));
+    let begin = Instant::now();
+    let tasks: Vec<_> = (0..callers)
+        .map(|_| {
+            let run = call(handle.clone(), server, begin + span, Arc::clone(&failed));
+            tokio::spawn(run)
+        })
+        .collect();
+    let mut times = Histogram::<u64>::new(3)?;
+    for task in tasks {
+        times.add(task.await??)?;
+    }
+    let rate = times.len() as f64 / begin.elapsed().as_secs_f64();
+    println!(
+        "callers {callers}: {rate:.0} requests/s, p50 {} us, p99 {} us, failed {}",
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        failed.load(Ordering::Relaxed),
+    );
+    child.kill()?;
+    child.wait()?;
+    Ok(())
+}
+
+/// Makes one call after the other and returns their times in microseconds.
+async fn call(
+    handle: Handle,
+    server: SocketAddr,
+    end: Instant,
+    failed: Arc<AtomicU64>,
+) -> Result<Histogram<u64>, Failure> {
+    let mut times = Histogram::new(3)?;
+    while Instant::now() < end {
+        let begin = Instant::now();
+        let deadline = begin + Duration::from_secs(2);
+        match handle.forward(server, request(1), deadline).await {
+            Ok(_) => times.record(begin.elapsed().as_micros() as u64)?,
+            Err(_) => {
+                failed.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+    Ok(times)
+}
