Flush answers once a batch in the upstream stand-in

Cause: pgwire's own handlers write to the socket after each message, and each Parse read the whole schema again. Ruled out: wrapping the stream, since pgwire takes a TCP stream only. Change: Bind, Describe and Execute queue their answers until Sync; descriptions of statements are kept until the schema changes; the node and wire modules are split into one file per concern.

--- /dev/null
+++ b/chervildrift_standin/examples/upstream_rate.rs
@@ -0,0 +1,88 @@
+//! Measures how many statements one upstream stand-in answers.
+
+use std::error::Error;
+use std::time::{Duration, Instant};
+
+use chervildrift_standin::upstream::{Options, spawn};
+use futures::future::try_join_all;
+use tokio_postgres::types::Type;
+use tokio_postgres::{Client, NoTls};
+
+const CONNECTIONS: usize = 16;
+const MEASURED: Duration = Duration::from_secs(2);
+const RECORDS: i64 = 10_000;
+
+type Failure = Box<dyn Error + Send + Sync>;
+
+#[tokio::main]
+async fn main() -> Result<(), Failure> {
+    let primary = spawn(Options::default())?;
+    let replica = spawn(Options::replica(primary.address()))?;
+    let mut clients = Vec::new();
+    for _ in 0..CONNECTIONS {
+        let address = primary.address();
+        let config = format!("host={} port={} user=rate", address.ip(), address.port());
+        let (client, connection) = tokio_postgres::connect(&config, NoTls).await?;
+        tokio::spawn(connection);
+        clients.push(client);
+    }
+    let sql = "CREATE TABLE notes (id bigint PRIMARY KEY, body text)";
+    clients[0].batch_execute(sql).await?;
+
+    let writes = measure(
+        &clients,
+        "INSERT INTO notes VALUES ($1, 'x') ON CONFLICT DO NOTHING",
+    )
+    .await?;
+    println!("prepared writes/s: {writes}");
+    let sql = "SELECT body FROM notes WHERE id = $1";
+    println!("prepared reads/s: {}", measure(&clients, sql).await?);
+    println!(
+        "unprepared reads/s: {}",
+        measure_unprepared(&clients, sql).await?
+    );
+
+    let start = Instant::now();
+    while replica.status().applied != primary.status().received {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    println!("entries: {}", primary.status().received.position);
+    println!("replica caught up after: {:?}", start.elapsed());
+    Ok(())
+}
+
+/// Returns the statements a second of all connections, each with one statement at a time.
+async fn measure(clients: &[Client], sql: &str) -> Result<u64, Failure> {
+    let start = Instant::now();
+    let run = |client| async move {
+        let statement = Client::prepare(client, sql).await?;
+        let mut done = 0;
+        while start.elapsed() < MEASURED {
+            let id = done % RECORDS;
+            client.query(&statement, &[&id]).await?;
+            done += 1;
+        }
+        Ok::<_, tokio_postgres::Error>(done)
+    };
+    rate(try_join_all(clients.iter().map(run)).await?)
+}
+
+/// Does the same with statements that are parsed anew each time.
+async fn measure_unprepared(clients: &[Client], sql: &str) -> Result<u64, Failure> {
+    let start = Instant::now();
+    let run = |client| async move {
+        let mut done = 0;
+        while start.elapsed() < MEASURED {
+            let id = done % RECORDS;
+            Client::query_typed(client, sql, &[(&id, Type::INT8)]).await?;
+            done += 1;
+        }
+        Ok::<_, tokio_postgres::Error>(done)
+    };
+    rate(try_join_all(clients.iter().map(run)).await?)
+}
+
+fn rate(done: Vec<i64>) -> Result<u64, Failure> {
+    let total = u64::try_from(done.into_iter().sum::<i64>())?;
+    Ok(total / MEASURED.as_secs())
+}
--- a/chervildrift_standin/src/upstream/call.rs
+++ b/chervildrift_standin/src/upstream/call.rs
@@ -1,5 +1,6 @@
 //! Runs the functions that an upstream offers beside SQL.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use pgwire::api::Type;
@@ -21,7 +22,7 @@
 const PULL_WAIT: Duration = Duration::from_millis(50);
 
 /// Describes a call's parameters and columns.
-pub(super) fn describe(call: &Call) -> Description {
+pub(super) fn describe(call: &Call) -> Arc<Description> {
     let mut params = Vec::new();
     for (number, typ) in call.param_types() {
         if params.len() < number {
@@ -34,10 +35,10 @@
         name: (*name).to_owned(),
         typ: typ.clone(),
     });
-    Description {
+    Arc::new(Description {
         params,
         columns: columns.collect(),
-    }
+    })
 }
 
 /// Runs a call.
--- a/chervildrift_standin/src/upstream/database.rs
+++ b/chervildrift_standin/src/upstream/database.rs
@@ -1,6 +1,8 @@
 //! One `SQLite` database in memory.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use pgwire::api::Type;
 use rusqlite::Connection;
@@ -14,6 +16,9 @@
 /// Statements kept prepared on each database.
 const STATEMENT_CACHE: usize = 256;
 
+/// Statements whose description is kept.
+const DESCRIPTION_CACHE: usize = 1024;
+
 /// Schema that every upstream starts with; it is not part of the log.
 const SCHEMA: &str = "
     PRAGMA foreign_keys = ON;
@@ -57,6 +62,14 @@
 #[derive(Debug)]
 pub(super) struct Database {
     connection: Connection,
+    descriptions: RefCell<Descriptions>,
+}
+
+/// Descriptions of statements under one version of the schema.
+#[derive(Debug, Default)]
+struct Descriptions {
+    version: i64,
+    by_text: HashMap<Arc<str>, Arc<Description>>,
 }
 
 impl Database {
@@ -65,7 +78,10 @@
         let connection = Connection::open_in_memory()?;
         connection.set_prepared_statement_cache_capacity(STATEMENT_CACHE);
         connection.execute_batch(SCHEMA)?;
-        Ok(Self { connection })
+        Ok(Self {
+            connection,
+            descriptions: RefCell::default(),
+        })
     }
 
     /// Runs a statement without parameters and rows.
@@ -130,7 +146,30 @@
     }
 
     /// Finds the parameter types and result columns of a statement.
-    pub fn describe(&self, command: &Command) -> Result<Description, SqlError> {
+    pub fn describe(&self, command: &Command) -> Result<Arc<Description>, SqlError> {
+        let version = self.schema_version()?;
+        let mut descriptions = self.descriptions.borrow_mut();
+        if descriptions.version != version || descriptions.by_text.len() > DESCRIPTION_CACHE {
+            descriptions.by_text.clear();
+            descriptions.version = version;
+        }
+        if let Some(found) = descriptions.by_text.get(&command.text) {
+            return Ok(Arc::clone(found));
+        }
+        let description = Arc::new(self.describe_anew(command)?);
+        let text = Arc::clone(&command.text);
+        descriptions.by_text.insert(text, Arc::clone(&description));
+        Ok(description)
+    }
+
+    /// Returns a number that changes with the schema.
+    fn schema_version(&self) -> Result<i64, SqlError> {
+        let rows = self.execute("PRAGMA schema_version", &[])?.rows;
+        let version = rows.first().and_then(|row| row.first());
+        Ok(version.and_then(Value::to_integer).unwrap_or_default())
+    }
+
+    fn describe_anew(&self, command: &Command) -> Result<Description, SqlError> {
         let statement = self.connection.prepare_cached(&command.sql)?;
         let schema = self.schema()?;
         let mut columns = Vec::with_capacity(statement.column_count());
--- /dev/null
+++ b/chervildrift_standin/src/upstream/node/mod.rs
@@ -0,0 +1,227 @@
+//! State of one upstream: its role, terms, log and databases.
+//!
+//! The log rules are those of Raft without its elections: a fence is granted once a term, only
+//! the promoter that fenced may promote, and a replica whose last entry is not in its primary's
+//! log truncates back to the common prefix.
+//!
+//! Two databases hold the same state. Open write transactions run on `work`, one at a time, and
+//! everything else reads `committed`, so that no reader sees uncommitted changes.
+
+mod replication;
+mod statements;
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::sync::{OwnedSemaphorePermit, watch};
+
+use super::activity::Activity;
+use super::database::Database;
+use super::log::{Entry, Log, Mark, Statement};
+
+pub(in crate::upstream) use self::replication::Lags;
+
+/// Term that a group's first primary starts in.
+const FIRST_TERM: i64 = 1;
+
+/// Role of an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Role {
+    /// Takes writes.
+    Primary,
+    /// Follows a primary, or waits to be told to.
+    Replica,
+}
+
+/// State of an upstream as its status read shows it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Status {
+    /// Current role.
+    pub role: Role,
+    /// Highest term that the upstream was fenced at.
+    pub fenced: i64,
+    /// Last entry of the log.
+    pub received: Mark,
+    /// Last entry that reads can see.
+    pub applied: Mark,
+    /// Time since the last successful pull from a primary.
+    pub heard: Option<Duration>,
+}
+
+/// Primary that a replica pulls from.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(in crate::upstream) struct Source {
+    pub address: String,
+}
+
+/// The one open write transaction.
+#[derive(Debug)]
+struct Writer {
+    session: u64,
+    activity: Arc<Activity>,
+    statements: Vec<Statement>,
+    /// Returned when the transaction ends, which lets the next writer in.
+    _permit: OwnedSemaphorePermit,
+}
+
+/// Whole state of an upstream, behind one lock.
+#[derive(Debug)]
+pub(in crate::upstream) struct Node {
+    role: Role,
+    fenced: i64,
+    fenced_by: Option<String>,
+    log: Log,
+    applied: usize,
+    /// Pulled entries that the receive lag still holds back, with their time of arrival.
+    pending: VecDeque<(Instant, Entry)>,
+    /// Times of receipt of the last entries of the log, which the apply lag still holds back.
+    lagging: VecDeque<Instant>,
+    heard: Option<Instant>,
+    source: watch::Sender<Option<Source>>,
+    /// Mark of the log's end, for pulls that wait for new entries.
+    tail: watch::Sender<Mark>,
+    /// Changes whenever open transactions must end.
+    epoch: u64,
+    writer: Option<Writer>,
+    committed: Database,
+    work: Database,
+}
+
+impl Node {
+    /// Opens a replica with an empty log.
+    pub fn open() -> Result<Self, rusqlite::Error> {
+        Ok(Self {
+            role: Role::Replica,
+            fenced: 0,
+            fenced_by: None,
+            log: Log::default(),
+            applied: 0,
+            pending: VecDeque::new(),
+            lagging: VecDeque::new(),
+            heard: None,
+            source: watch::Sender::new(None),
+            tail: watch::Sender::new(Mark::default()),
+            epoch: 0,
+            writer: None,
+            committed: Database::open()?,
+            work: Database::open()?,
+        })
+    }
+
+    /// Makes the upstream the first primary of its group.
+    pub fn start_primary(&mut self) {
+        self.fenced = FIRST_TERM;
+        self.become_primary(FIRST_TERM);
+    }
+
+    /// Returns the state for a status read.
+    pub fn status(&self) -> Status {
+        Status {
+            role: self.role,
+            fenced: self.fenced,
+            received: self.log.last(),
+            applied: self.log.mark_of(self.applied),
+            heard: self.heard.map(|heard| heard.elapsed()),
+        }
+    }
+
+    /// Returns the number that changes whenever open transactions must end.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Observes the primary that the upstream is told to follow.
+    pub fn watch_source(&self) -> watch::Receiver<Option<Source>> {
+        self.source.subscribe()
+    }
+
+    /// Observes the end of the log.
+    pub fn watch_tail(&self) -> watch::Receiver<Mark> {
+        self.tail.subscribe()
+    }
+
+    /// Grants a fence once a term; a repeat by the same promoter is granted again.
+    pub fn fence(&mut self, term: i64, promoter: &str) -> bool {
+        if term > self.fenced {
+            self.raise_fence(term);
+            self.fenced_by = Some(promoter.to_owned());
+            return true;
+        }
+        self.is_fenced_by(term, promoter)
+    }
+
+    /// Promotes the upstream if this promoter fenced it at this term.
+    pub fn promote(&mut self, term: i64, promoter: &str) -> bool {
+        if !self.is_fenced_by(term, promoter) {
+            return false;
+        }
+        if self.role == Role::Replica {
+            self.become_primary(term);
+        }
+        true
+    }
+
+    /// Starts to pull from a primary of at least this term.
+    pub fn follow(&mut self, address: &str, term: i64) -> bool {
+        let is_primary = self.role == Role::Primary;
+        if term < self.fenced || (is_primary && term == self.fenced) {
+            return false;
+        }
+        if term > self.fenced {
+            self.raise_fence(term);
+        }
+        let address = address.to_owned();
+        let next = Some(Source { address });
+        // A repeated order must not interrupt the pull that it asks for.
+        self.source.send_if_modified(|source| {
+            let changed = *source != next;
+            source.clone_from(&next);
+            changed
+        });
+        true
+    }
+
+    fn is_fenced_by(&self, term: i64, promoter: &str) -> bool {
+        term == self.fenced && self.fenced_by.as_deref() == Some(promoter)
+    }
+
+    /// Refuses everything below a term from now on.
+    fn raise_fence(&mut self, term: i64) {
+        self.fenced = term;
+        self.fenced_by = None;
+        self.pending.clear();
+        if self.role == Role::Primary {
+            self.role = Role::Replica;
+            self.abort_transactions();
+        }
+    }
+
+    fn become_primary(&mut self, term: i64) {
+        self.pending.clear();
+        self.apply_all();
+        self.abort_transactions();
+        self.role = Role::Primary;
+        self.heard = None;
+        self.source.send_replace(None);
+        self.append(term, Vec::new());
+    }
+
+    fn append(&mut self, term: i64, statements: Vec<Statement>) {
+        self.log.append(term, statements);
+        self.applied = self.log.len();
+        self.tail.send_replace(self.log.last());
+    }
+
+    fn abort_transactions(&mut self) {
+        self.epoch += 1;
+        self.drop_writer();
+    }
+
+    fn drop_writer(&mut self) {
+        if self.writer.take().is_some() {
+            // A transaction that SQLite has already ended itself has nothing left to roll back.
+            drop(self.work.run("ROLLBACK"));
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_standin/src/upstream/node/statements.rs
@@ -0,0 +1,131 @@
+//! Statements of sessions, and the one open write transaction.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::sync::OwnedSemaphorePermit;
+
+use super::super::activity::Activity;
+use super::super::database::{Database, Description, Outcome};
+use super::super::error::SqlError;
+use super::super::log::Statement;
+use super::super::sql::Command;
+use super::super::value::Value;
+use super::{Node, Role, Writer};
+
+impl Node {
+    /// Describes a statement as the session would see it.
+    pub fn describe(&self, session: u64, command: &Command) -> Result<Arc<Description>, SqlError> {
+        self.database(session).describe(command)
+    }
+
+    /// Tells whether a statement writes.
+    pub fn writes(&self, session: u64, command: &Command) -> Result<bool, SqlError> {
+        self.database(session).writes(&command.sql)
+    }
+
+    /// Runs a read, within the session's write transaction if it has one.
+    pub fn read(
+        &self,
+        session: u64,
+        command: &Command,
+        params: &[Value],
+    ) -> Result<Outcome, SqlError> {
+        self.database(session).execute(&command.sql, params)
+    }
+
+    /// Refuses a write unless the upstream is the primary.
+    pub fn check_writable(&self) -> Result<(), SqlError> {
+        match self.role {
+            Role::Primary => Ok(()),
+            Role::Replica => Err(SqlError::read_only()),
+        }
+    }
+
+    /// Tells whether the session has the open write transaction.
+    pub fn is_writer(&self, session: u64) -> bool {
+        self.writer
+            .as_ref()
+            .is_some_and(|writer| writer.session == session)
+    }
+
+    /// Opens the write transaction of a session.
+    pub fn begin(
+        &mut self,
+        session: u64,
+        activity: &Arc<Activity>,
+        permit: OwnedSemaphorePermit,
+    ) -> Result<(), SqlError> {
+        self.check_writable()?;
+        self.work.run("BEGIN")?;
+        self.writer = Some(Writer {
+            session,
+            activity: Arc::clone(activity),
+            statements: Vec::new(),
+            _permit: permit,
+        });
+        Ok(())
+    }
+
+    /// Runs a statement in the session's write transaction and keeps it for the log.
+    pub fn write(
+        &mut self,
+        session: u64,
+        command: &Command,
+        params: &[Value],
+    ) -> Result<Outcome, SqlError> {
+        let writer = self.writer.as_mut().filter(|w| w.session == session);
+        let writer = writer.ok_or_else(SqlError::aborted)?;
+        let outcome = self.work.execute(&command.sql, params)?;
+        writer.statements.push(Statement {
+            sql: command.sql.to_string(),
+            params: params.to_vec(),
+        });
+        Ok(outcome)
+    }
+
+    /// Commits the session's write transaction as one entry of the log.
+    pub fn commit(&mut self, session: u64) -> Result<(), SqlError> {
+        if !self.is_writer(session) {
+            return Err(SqlError::aborted());
+        }
+        let Some(writer) = self.writer.take() else {
+            return Err(SqlError::aborted());
+        };
+        let committed = self.committed.apply(&writer.statements);
+        let end = if committed.is_ok() {
+            "COMMIT"
+        } else {
+            "ROLLBACK"
+        };
+        self.work.run(end)?;
+        committed?;
+        if !writer.statements.is_empty() {
+            self.append(self.fenced, writer.statements);
+        }
+        Ok(())
+    }
+
+    /// Rolls the session's write transaction back, if it has one.
+    pub fn rollback(&mut self, session: u64) {
+        if self.is_writer(session) {
+            self.drop_writer();
+        }
+    }
+
+    /// Aborts the open write transaction if it has run no statement for longer than the limit.
+    pub fn abort_idle_writer(&mut self, limit: Duration) {
+        let idle = |writer: &Writer| writer.activity.idle() > limit;
+        if self.writer.as_ref().is_some_and(idle) {
+            self.drop_writer();
+        }
+    }
+
+    fn database(&self, session: u64) -> &Database {
+        if self.is_writer(session) {
+            &self.work
+        } else {
+            &self.committed
+        }
+    }
+}
--- a/chervildrift_standin/src/upstream/session.rs
+++ b/chervildrift_standin/src/upstream/session.rs
@@ -108,13 +108,13 @@
     }
 
     /// Finds the parameter types and result columns of a statement.
-    pub fn describe(&self, command: &Command) -> Result<Description, SqlError> {
+    pub fn describe(&self, command: &Command) -> Result<Arc<Description>, SqlError> {
         let described = self
             .check_open(command)
             .and_then(|()| match &command.action {
                 Action::Call(call) => Ok(call::describe(call)),
                 Action::Query => self.shared.node().describe(self.id, command),
-                _ => Ok(Description::default()),
+                _ => Ok(Arc::default()),
             });
         self.note(described)
     }
--- /dev/null
+++ b/chervildrift_standin/src/upstream/wire/response.rs
@@ -0,0 +1,75 @@
+//! Turns replies into the protocol's responses.
+
+use std::sync::Arc;
+
+use futures::stream;
+use pgwire::api::portal::Format;
+use pgwire::api::results::{DataRowEncoder, FieldInfo, QueryResponse, Response, Tag};
+use pgwire::error::PgWireResult;
+use pgwire::messages::PgWireBackendMessage;
+use pgwire::messages::data::{FieldDescription, NoData, RowDescription};
+
+use super::super::database::Column;
+use super::super::session::Reply;
+use super::super::value::{Value, encode};
+
+/// Builds the response to one statement.
+pub(super) fn response(
+    reply: Reply,
+    columns: &[Column],
+    format: &Format,
+) -> PgWireResult<Response> {
+    let response = match reply {
+        Reply::Rows { tag, rows } => Response::Query(query_response(tag, &rows, columns, format)?),
+        Reply::Done(tag, Some(changed)) => Response::Execution(Tag::new(tag).with_rows(changed)),
+        Reply::Done(tag, None) => Response::Execution(Tag::new(tag)),
+        Reply::Started(tag) => Response::TransactionStart(Tag::new(tag)),
+        Reply::Ended(tag) => Response::TransactionEnd(Tag::new(tag)),
+    };
+    Ok(response)
+}
+
+/// Describes the columns of a result.
+pub(super) fn fields(columns: &[Column], format: &Format) -> Vec<FieldInfo> {
+    let field = |(index, column): (usize, &Column)| {
+        let name = column.name.clone();
+        FieldInfo::new(
+            name,
+            None,
+            None,
+            column.typ.clone(),
+            format.format_for(index),
+        )
+    };
+    columns.iter().enumerate().map(field).collect()
+}
+
+/// Builds the message that describes the columns of a result, if it has any.
+pub(super) fn description(columns: &[Column], format: &Format) -> PgWireBackendMessage {
+    if columns.is_empty() {
+        return PgWireBackendMessage::NoData(NoData::new());
+    }
+    let fields = fields(columns, format);
+    let fields = fields.iter().map(FieldDescription::from).collect();
+    PgWireBackendMessage::RowDescription(RowDescription::new(fields))
+}
+
+fn query_response(
+    tag: &str,
+    rows: &[Vec<Value>],
+    columns: &[Column],
+    format: &Format,
+) -> PgWireResult<QueryResponse> {
+    let fields = Arc::new(fields(columns, format));
+    let mut encoder = DataRowEncoder::new(Arc::clone(&fields));
+    let mut lines = Vec::with_capacity(rows.len());
+    for row in rows {
+        for (value, column) in row.iter().zip(columns) {
+            encode(&mut encoder, value, &column.typ)?;
+        }
+        lines.push(Ok(encoder.take_row()));
+    }
+    let mut response = QueryResponse::new(fields, stream::iter(lines));
+    response.set_command_tag(tag);
+    Ok(response)
+}
