Test the faults and the SQL of the upstream stand-in

Ruled out: measuring delays with tight upper bounds, because the machine is shared; each bound is the one that the wrong behaviour would exceed. Change: a test for each fault, for limits, service time, writers that wait, graceful stop, text parameters, savepoints, the outcome table and computed columns.

--- a/chervildrift_standin/tests/sql_statements.rs
+++ b/chervildrift_standin/tests/sql_statements.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use std::error::Error;
+
 use common::{connect, count, create, insert, primary, state};
 use tokio_postgres::error::SqlState;
+use tokio_postgres::types::{Format, IsNull, ToSql, Type};
 
 /// Guards against values that change between a binary parameter and a binary result.
 #[tokio::test]
@@ -14,8 +17,7 @@
     client.batch_execute(sql).await.unwrap();
     let insert = "INSERT INTO v (a, b, c, d, e) VALUES ($1, $2, $3, $4, $5)";
     let values: (i32, i64, bool, f64, &str) = (-7, i64::MAX, true, 0.1, "a'b");
-    let params: [&(dyn tokio_postgres::types::ToSql + Sync); 5] =
-        [&values.0, &values.1, &values.2, &values.3, &values.4];
+    let params: [&(dyn ToSql + Sync); 5] = [&values.0, &values.1, &values.2, &values.3, &values.4];
     assert_eq!(client.execute(insert, &params).await.unwrap(), 1);
     let row = client
         .query_one("SELECT * FROM v WHERE a = $1 AND c = $2", &[&-7i32, &true])
@@ -76,3 +78,139 @@
     assert_eq!(status.unwrap().get::<_, String>("role"), "primary");
     assert_eq!(count(&client).await, 1);
 }
+
+/// Parameter that is sent in text format.
+#[derive(Debug)]
+struct Text(&'static str);
+
+impl ToSql for Text {
+    fn to_sql(
+        &self,
+        _: &Type,
+        out: &mut tokio_postgres::types::private::BytesMut,
+    ) -> Result<IsNull, Box<dyn Error + Sync + Send>> {
+        out.extend_from_slice(self.0.as_bytes());
+        Ok(IsNull::No)
+    }
+
+    fn accepts(_: &Type) -> bool {
+        true
+    }
+
+    fn encode_format(&self, _: &Type) -> Format {
+        Format::Text
+    }
+
+    tokio_postgres::types::to_sql_checked!();
+}
+
+/// Guards against text parameters that are read as binary, or bad ones that are stored.
+#[tokio::test]
+async fn text_parameters() {
+    let handle = primary();
+    let client = connect(&handle).await;
+    create(&client).await;
+    let sql = "INSERT INTO notes VALUES ($1, $2) RETURNING id, body";
+    let row = client
+        .query_one(sql, &[&Text("42"), &Text("x")])
+        .await
+        .unwrap();
+    assert_eq!(
+        (row.get::<_, i64>("id"), row.get::<_, &str>("body")),
+        (42, "x")
+    );
+    let err = client
+        .query(sql, &[&Text("x"), &Text("x")])
+        .await
+        .unwrap_err();
+    assert_eq!(state(&err), Some(&SqlState::INVALID_TEXT_REPRESENTATION));
+}
+
+/// Guards against the outcome table or a status read not working within a write transaction.
+#[tokio::test]
+async fn recorded_outcome() {
+    let handle = primary();
+    let mut client = connect(&handle).await;
+    create(&client).await;
+    let transaction = client.transaction().await.unwrap();
+    let status = "SELECT * FROM chervildrift_status()";
+    let before: i64 = transaction
+        .query_one(status, &[])
+        .await
+        .unwrap()
+        .get("received_position");
+    let sql = "INSERT INTO chervildrift_outcome (key, digest, state, made_ms) \
+        VALUES ($1, $2, 'running', $3) ON CONFLICT (key) DO NOTHING";
+    let done = transaction
+        .execute(sql, &[&"k", &"d", &7i64])
+        .await
+        .unwrap();
+    let again = transaction
+        .execute(sql, &[&"k", &"d", &7i64])
+        .await
+        .unwrap();
+    assert_eq!((done, again), (1, 0));
+    let sql = "UPDATE chervildrift_outcome SET state = 'done', answer = $1 WHERE key = $2";
+    transaction.execute(sql, &[&"[]", &"k"]).await.unwrap();
+    transaction.commit().await.unwrap();
+    let sql = "SELECT answer, made_ms FROM chervildrift_outcome WHERE key = $1";
+    let row = client.query_one(sql, &[&"k"]).await.unwrap();
+    assert_eq!((row.get::<_, &str>(0), row.get::<_, i64>(1)), ("[]", 7));
+    assert_eq!(handle.status().received.position, before + 1);
+}
+
+/// Guards against half of a batch that stays, and against savepoints that are not returned to.
+#[tokio::test]
+async fn partial_rollback() {
+    let handle = primary();
+    let mut client = connect(&handle).await;
+    create(&client).await;
+    let twice = "INSERT INTO notes VALUES (1, ''); INSERT INTO notes VALUES (1, '')";
+    client.batch_execute(twice).await.unwrap_err();
+    assert_eq!(count(&client).await, 0);
+    let mut outer = client.transaction().await.unwrap();
+    outer
+        .batch_execute("INSERT INTO notes VALUES (1, '')")
+        .await
+        .unwrap();
+    let inner = outer.transaction().await.unwrap();
+    inner
+        .batch_execute("INSERT INTO notes VALUES (1, '')")
+        .await
+        .unwrap_err();
+    inner.rollback().await.unwrap();
+    outer
+        .batch_execute("INSERT INTO notes VALUES (2, '')")
+        .await
+        .unwrap();
+    outer.commit().await.unwrap();
+    assert_eq!(count(&client).await, 2);
+}
+
+/// Guards against types that a client can't read: of aggregates, casts and limits.
+#[tokio::test]
+async fn computed_columns() {
+    let handle = primary();
+    let client = connect(&handle).await;
+    create(&client).await;
+    insert(&client, 5).await.unwrap();
+    let sql = "SELECT max(n.id) AS top, count(*), id > 3 AS big, $1::int4 AS given, \
+        sum(id)::float8 AS total FROM notes n WHERE n.id IN ($2, $3) LIMIT $4";
+    let row = client
+        .query_one(sql, &[&1i32, &5i64, &6i64, &1i64])
+        .await
+        .unwrap();
+    let values: (i64, i64, bool, i32, f64) = (
+        row.get("top"),
+        row.get("count"),
+        row.get("big"),
+        row.get("given"),
+        row.get("total"),
+    );
+    assert_eq!(values, (5, 1, true, 1, 5.0));
+    let err = client
+        .query("SELECT * FROM missing", &[])
+        .await
+        .unwrap_err();
+    assert_eq!(state(&err), Some(&SqlState::UNDEFINED_TABLE));
+}
--- /dev/null
+++ b/chervildrift_standin/tests/upstream_faults.rs
@@ -0,0 +1,232 @@
+//! Faults, limits and service times of the upstream.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use chervildrift_standin::upstream::{FAULT_USER, Fault, Options, spawn};
+use common::{
+    caught_up, connect, count, create, insert, mark, primary, replica, state, status, try_connect,
+};
+use tokio::time::{sleep, timeout};
+use tokio_postgres::Client;
+use tokio_postgres::error::SqlState;
+
+/// Time in which a frozen upstream must not answer.
+const SILENCE: Duration = Duration::from_millis(60);
+
+async fn set(client: &Client, name: &str, value: i64) {
+    let sql = "SELECT chervildrift_fault($1, $2)";
+    client.execute(sql, &[&name, &value]).await.expect("fault");
+}
+
+/// Guards against a frozen upstream that answers, loses a statement or can't be thawed.
+#[tokio::test]
+async fn frozen_upstream() {
+    let handle = primary();
+    let client = connect(&handle).await;
+    create(&client).await;
+    handle.fault(Fault::Freeze, 1);
+    let pending = insert(&client, 1);
+    tokio::pin!(pending);
+    timeout(SILENCE, &mut pending).await.unwrap_err();
+    let late = async { try_connect(handle.address(), "test").await.is_ok() };
+    timeout(SILENCE, late).await.unwrap_err();
+    let control = try_connect(handle.address(), FAULT_USER).await.unwrap();
+    set(&control, "freeze", 0).await;
+    assert_eq!(pending.await.unwrap(), 1);
+    assert_eq!(count(&client).await, 1);
+}
+
+/// Guards against a frozen replica that goes on receiving or looks as if it heard its primary.
+#[tokio::test]
+async fn frozen_replica() {
+    let first = primary();
+    let second = replica(&first);
+    let client = connect(&first).await;
+    create(&client).await;
+    caught_up(&second, &first).await;
+    second.fault(Fault::Freeze, 1);
+    insert(&client, 1).await.unwrap();
+    sleep(SILENCE).await;
+    assert_eq!(second.status().received, mark(1, 2));
+    assert!(second.status().heard.unwrap() >= SILENCE);
+    second.fault(Fault::Freeze, 0);
+    caught_up(&second, &first).await;
+}
+
+/// Guards against a lost answer that still arrives, or whose write has no effect.
+#[tokio::test]
+async fn dropped_answer() {
+    let handle = primary();
+    let (client, other) = (connect(&handle).await, connect(&handle).await);
+    create(&client).await;
+    set(&other, "drop_answer", 2).await;
+    assert_eq!(count(&client).await, 0);
+    assert!(insert(&client, 1).await.unwrap_err().code().is_none());
+    assert_eq!(count(&other).await, 1);
+    let fence = "SELECT chervildrift_fence(2, 'a')";
+    assert!(
+        other
+            .execute(fence, &[])
+            .await
+            .unwrap_err()
+            .code()
+            .is_none()
+    );
+    assert_eq!(handle.status().fenced, 2);
+    assert_eq!(count(&connect(&handle).await).await, 1);
+}
+
+/// Guards against delays that are not applied, or are applied once a statement of a batch.
+#[tokio::test]
+async fn delayed_statements() {
+    let handle = primary();
+    let client = connect(&handle).await;
+    set(&client, "delay_ms", 100).await;
+    let start = Instant::now();
+    client.batch_execute("SELECT 1; SELECT 2").await.unwrap();
+    assert!((100..200).contains(&start.elapsed().as_millis()));
+    set(&client, "delay_ms", 0).await;
+    set(&client, "slow_statement_ms", 100).await;
+    let start = Instant::now();
+    client.batch_execute("SELECT 1; SELECT 2").await.unwrap();
+    assert!(start.elapsed() >= Duration::from_millis(200));
+    let start = Instant::now();
+    status(&client).await;
+    assert!(start.elapsed() < Duration::from_millis(100));
+}
+
+/// Guards against a cut that stops only one direction, or outlasts the fault.
+#[tokio::test]
+async fn cut_replication() {
+    let first = primary();
+    let second = replica(&first);
+    let client = connect(&first).await;
+    create(&client).await;
+    caught_up(&second, &first).await;
+    for (number, cut) in (1..).zip([&first, &second]) {
+        cut.fault(Fault::CutReplication, 1);
+        sleep(SILENCE).await;
+        let before = second.status().received;
+        insert(&client, number).await.unwrap();
+        sleep(SILENCE).await;
+        assert_eq!(second.status().received, before);
+        assert!(second.status().heard.unwrap() >= SILENCE);
+        cut.fault(Fault::CutReplication, 0);
+        caught_up(&second, &first).await;
+    }
+}
+
+/// Guards against refused connections that get in, and against cutting those already open.
+#[tokio::test]
+async fn refused_connections() {
+    let handle = primary();
+    let client = connect(&handle).await;
+    set(&client, "refuse_connections", 1).await;
+    let refused = try_connect(handle.address(), "test").await;
+    assert!(refused.unwrap_err().code().is_none());
+    set(&client, "refuse_connections", 0).await;
+    connect(&handle).await;
+}
+
+/// Guards against more connections than the limit, and against places that never come free.
+#[tokio::test]
+async fn connection_limit() {
+    let options = Options {
+        connections: 1,
+        connect: Duration::from_millis(30),
+        ..Options::default()
+    };
+    let handle = spawn(options).unwrap();
+    let start = Instant::now();
+    let client = connect(&handle).await;
+    assert!(start.elapsed() >= Duration::from_millis(30));
+    let refused = try_connect(handle.address(), "test").await.unwrap_err();
+    assert_eq!(state(&refused), Some(&SqlState::TOO_MANY_CONNECTIONS));
+    drop(client);
+    let start = Instant::now();
+    while try_connect(handle.address(), "test").await.is_err() {
+        assert!(start.elapsed() < Duration::from_secs(2));
+    }
+}
+
+/// Guards against statement times that the one writer would serialise.
+#[tokio::test]
+async fn statement_time() {
+    const WRITERS: u32 = 8;
+    let time = Duration::from_millis(20);
+    let options = Options {
+        statement: time,
+        ..Options::default()
+    };
+    let handle = spawn(options).unwrap();
+    create(&connect(&handle).await).await;
+    let write = async |id: i64| {
+        let client = connect(&handle).await;
+        let sql = format!("BEGIN; INSERT INTO notes VALUES ({id}, ''); SELECT 1; COMMIT");
+        let start = Instant::now();
+        client.batch_execute(&sql).await.unwrap();
+        assert!(start.elapsed() >= time * 2);
+    };
+    let start = Instant::now();
+    futures::future::join_all((0..i64::from(WRITERS)).map(write)).await;
+    assert!(start.elapsed() < time * 2 * WRITERS);
+}
+
+/// Guards against a second writer that waits for ever, and against an idle one that keeps it out.
+#[tokio::test]
+async fn waiting_writers() {
+    let options = Options {
+        lock_wait: Duration::from_millis(100),
+        idle_limit: Duration::from_secs(60),
+        ..Options::default()
+    };
+    let handle = spawn(options.clone()).unwrap();
+    let (holder, waiter) = (connect(&handle).await, connect(&handle).await);
+    create(&holder).await;
+    holder.batch_execute("BEGIN").await.unwrap();
+    insert(&holder, 1).await.unwrap();
+    let err = insert(&waiter, 2).await.unwrap_err();
+    assert_eq!(state(&err), Some(&SqlState::T_R_SERIALIZATION_FAILURE));
+
+    let idle_limit = Duration::from_millis(20);
+    let handle = spawn(Options {
+        idle_limit,
+        ..options
+    })
+    .unwrap();
+    let (holder, waiter) = (connect(&handle).await, connect(&handle).await);
+    create(&holder).await;
+    holder.batch_execute("BEGIN").await.unwrap();
+    insert(&holder, 1).await.unwrap();
+    insert(&waiter, 2).await.unwrap();
+    let err = holder.batch_execute("COMMIT").await.unwrap_err();
+    assert_eq!(state(&err), Some(&SqlState::T_R_SERIALIZATION_FAILURE));
+    assert_eq!(count(&waiter).await, 1);
+}
+
+/// Guards against a stop that cuts a statement in progress, or leaves the port taken.
+#[tokio::test]
+async fn graceful_stop() {
+    let statement = Duration::from_millis(50);
+    let options = Options {
+        statement,
+        ..Options::default()
+    };
+    let handle = spawn(options).unwrap();
+    let _second = replica(&handle);
+    let address = handle.address();
+    let client = connect(&handle).await;
+    let running = tokio::spawn(async move { client.query("SELECT 1", &[]).await });
+    sleep(statement / 2).await;
+    let start = Instant::now();
+    handle.stop().await;
+    assert!(start.elapsed() < Duration::from_secs(1));
+    assert_eq!(running.await.unwrap().unwrap().len(), 1);
+    spawn(Options {
+        address,
+        ..Options::default()
+    })
+    .unwrap();
+}
