--- a/chervildrift/src/cli/check.rs
+++ b/chervildrift/src/cli/check.rs
@@ -32,7 +32,9 @@
         let text = std::fs::read_to_string(path).map_err(|err| Error::File(path.clone(), err))?;
         if let Err(findings) = chervildrift_core::config::check_settings(&text) {
             mistakes += findings.len();
-            findings.iter().for_each(|finding| println!("{}:{finding}", path.display()));
+            findings
+                .iter()
+                .for_each(|finding| println!("{}:{finding}", path.display()));
         }
     }
     let collected = collect(&options.paths)?;
@@ -44,6 +46,9 @@
         println!("{mistakes} mistakes");
         return Ok(ExitCode::from(FAILURE));
     }
-    println!("{} services are declared without mistakes", collected.declarations.len());
+    println!(
+        "{} services are declared without mistakes",
+        collected.declarations.len()
+    );
     Ok(ExitCode::SUCCESS)
 }
--- a/chervildrift/src/cli/serve.rs
+++ b/chervildrift/src/cli/serve.rs
@@ -32,7 +32,11 @@
             }
         }
     })?;
-    Ok(if graceful { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    Ok(if graceful {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
 }
 
 async fn await_either(term: &mut Signal, int: &mut Signal) {
--- a/chervildrift/src/cli/stand_in.rs
+++ b/chervildrift/src/cli/stand_in.rs
@@ -11,7 +11,10 @@
 
 /// Runs the platform's stand-in until it is told to stop.
 pub(super) fn platform(listen: SocketAddr) -> Result<(), Error> {
-    let handle = table::spawn(table::Options { address: listen, ..table::Options::default() })?;
+    let handle = table::spawn(&table::Options {
+        address: listen,
+        ..table::Options::default()
+    })?;
     println!("listening on {}", handle.address());
     await_stop()?;
     drop(handle);
--- a/chervildrift/src/declare/mod.rs
+++ b/chervildrift/src/declare/mod.rs
@@ -43,7 +43,9 @@
         match check(&text) {
             Ok(declaration) => take(&mut collected, path, declaration),
             Err(findings) => {
-                collected.findings.extend(findings.into_iter().map(|it| (path.clone(), it)));
+                collected
+                    .findings
+                    .extend(findings.into_iter().map(|it| (path.clone(), it)));
             }
         }
     }
@@ -51,12 +53,18 @@
 }
 
 fn take(collected: &mut Collected, path: PathBuf, declaration: Declaration) {
-    let twice = collected.declarations.iter().any(|it| it.service == declaration.service);
+    let twice = collected
+        .declarations
+        .iter()
+        .any(|it| it.service == declaration.service);
     if twice {
         let finding = Finding {
             line: 1,
             column: 1,
-            problem: format!("service {} is declared by another file as well", declaration.service),
+            problem: format!(
+                "service {} is declared by another file as well",
+                declaration.service
+            ),
             expected: "declare each service in one file".to_owned(),
         };
         collected.findings.push((path, finding));
--- a/chervildrift/src/lib.rs
+++ b/chervildrift/src/lib.rs
@@ -1,10 +1,17 @@
 //! The chervildrift program as a library, so that tests can run its parts.
 
+pub mod cli;
+pub mod declare;
 pub mod gossip;
 pub mod http;
 pub mod logs;
 pub mod metrics;
 pub mod peer;
 pub mod platform;
+pub mod publish;
+pub mod replay;
+pub mod report;
+pub mod serve;
+pub mod try_out;
 pub mod upstream;
 pub mod work;
--- a/chervildrift/src/serve/accept.rs
+++ b/chervildrift/src/serve/accept.rs
@@ -58,26 +58,35 @@
         })?;
         let tokens = match &call.session {
             None => Tokens::new(),
-            Some(text) => {
-                self.sealer.verify_session(text, &call.service).map_err(|err| {
-                    Problem::not_run(ProblemKind::InvalidSession, err.to_string())
-                })?
-            }
+            Some(text) => self
+                .sealer
+                .verify_session(text, &call.service)
+                .map_err(|err| Problem::not_run(ProblemKind::InvalidSession, err.to_string()))?,
         };
         let accepted = match &call.step {
             Step::Run(run) => self.run(declaration, call, run, None)?,
-            Step::Open(run) => {
-                self.run(declaration, call, run, Some(TransactionStep::Open))?
-            },
-            Step::Execute { transaction, statements } => {
-                step(declaration, transaction, TransactionStep::Execute, statements.clone())?
-            }
-            Step::Commit { transaction } => {
-                step(declaration, transaction, TransactionStep::Commit, Vec::new())?
-            }
-            Step::Rollback { transaction } => {
-                step(declaration, transaction, TransactionStep::Rollback, Vec::new())?
-            }
+            Step::Open(run) => self.run(declaration, call, run, Some(TransactionStep::Open))?,
+            Step::Execute {
+                transaction,
+                statements,
+            } => step(
+                declaration,
+                transaction,
+                TransactionStep::Execute,
+                statements.clone(),
+            )?,
+            Step::Commit { transaction } => step(
+                declaration,
+                transaction,
+                TransactionStep::Commit,
+                Vec::new(),
+            )?,
+            Step::Rollback { transaction } => step(
+                declaration,
+                transaction,
+                TransactionStep::Rollback,
+                Vec::new(),
+            )?,
             Step::Outcome { key, record } => outcome(declaration, call, key, record)?,
         };
         Ok((accepted, tokens))
@@ -105,9 +114,17 @@
             rank: kind.rank,
             kind: kind.name.to_string(),
             key: run.key.clone(),
-            access: if write { message::Access::Write } else { message::Access::Read },
+            access: if write {
+                message::Access::Write
+            } else {
+                message::Access::Read
+            },
             // A transaction that may be open elsewhere is not opened twice.
-            repeat: if step.is_some() { Repeat::Once } else { repeat(kind, record.is_some()) },
+            repeat: if step.is_some() {
+                Repeat::Once
+            } else {
+                repeat(kind, record.is_some())
+            },
             statements: run.statements.clone(),
             record,
             step,
@@ -137,7 +154,10 @@
                 record_key(&call.caller, &key)
             }
         };
-        Some(Idempotency { key, digest: digest(&run.statements) })
+        Some(Idempotency {
+            key,
+            digest: digest(&run.statements),
+        })
     }
 
     fn begin(
@@ -151,7 +171,10 @@
         let arrived = self.clock.time(call.arrived);
         let deadline = arrived + accepted.limit;
         let id = call.id.0;
-        let mark = tokens.iter().find(|token| token.group == accepted.group).map(|it| it.mark);
+        let mark = tokens
+            .iter()
+            .find(|token| token.group == accepted.group)
+            .map(|it| it.mark);
         let request = Request {
             id,
             service: accepted.group.service.clone(),
@@ -192,7 +215,9 @@
     fn count_request(&mut self, now: Time, request: &Request) {
         let key = (request.service.clone(), request.kind.clone());
         let budget = self.entry.budgets.entry(key);
-        budget.or_insert_with(|| RetryBudget::open(RetryRules::default())).request(now);
+        budget
+            .or_insert_with(|| RetryBudget::open(RetryRules::default()))
+            .request(now);
     }
 }
 
@@ -232,7 +257,10 @@
         .find(|group| group.upstreams.iter().any(|it| holds(it.name.as_str())))
         .ok_or_else(unknown)?;
     // Finishing a transaction frees its locks and its connection, so it goes before other work.
-    let kind = declaration.kinds.iter().filter(|kind| kind.access == Access::Write);
+    let kind = declaration
+        .kinds
+        .iter()
+        .filter(|kind| kind.access == Access::Write);
     let kind = kind.min_by_key(|kind| kind.rank).ok_or_else(unknown)?;
     Ok(Accepted {
         group: declaration.group_id(group),
@@ -257,13 +285,19 @@
     key: &str,
     record: &str,
 ) -> Result<Accepted, Problem> {
-    let kind = declaration.kinds.iter().filter(|kind| kind.access == Access::Write);
+    let kind = declaration
+        .kinds
+        .iter()
+        .filter(|kind| kind.access == Access::Write);
     let kind = kind.min_by_key(|kind| kind.rank).ok_or_else(|| {
         let detail = "the service has no kind with `access: write`";
         Problem::not_run(ProblemKind::UnknownKind, detail)
     })?;
     let group = pick(declaration, key)?;
-    debug_assert!(find_group(declaration, &group).is_some(), "picked groups are declared");
+    debug_assert!(
+        find_group(declaration, &group).is_some(),
+        "picked groups are declared"
+    );
     Ok(Accepted {
         group,
         rank: kind.rank,
@@ -272,7 +306,10 @@
         access: message::Access::Write,
         repeat: Repeat::Keyed,
         statements: Vec::new(),
-        record: Some(Idempotency { key: record_key(&call.caller, record), digest: String::new() }),
+        record: Some(Idempotency {
+            key: record_key(&call.caller, record),
+            digest: String::new(),
+        }),
         step: None,
         transaction: None,
         max_age: None,
--- a/chervildrift/src/serve/clock.rs
+++ b/chervildrift/src/serve/clock.rs
@@ -13,7 +13,9 @@
 impl Clock {
     /// Opens a clock that reads zero now.
     pub(super) fn open() -> Self {
-        Self { start: Instant::now() }
+        Self {
+            start: Instant::now(),
+        }
     }
 
     /// Returns the time now.
--- a/chervildrift/src/serve/dispatcher.rs
+++ b/chervildrift/src/serve/dispatcher.rs
@@ -7,7 +7,6 @@
 use chervildrift_core::dispatch::{JobId, KindPolicy, Policy, Scheduler};
 use chervildrift_core::transaction::{Limits, TransactionId, Transactions};
 use chervildrift_core::types::{Caller, GroupId, Rank, Time};
-use slog::Logger;
 
 use super::task::{OpenTransaction, Task};
 use crate::peer::message::{Load, Request, Step};
@@ -69,7 +68,6 @@
     pub held: HashMap<TransactionId, Held>,
     /// Time of the last request, after which a dispatcher that is no longer chosen is closed.
     pub used: Time,
-    pub log: Logger,
 }
 
 impl Dispatcher {
@@ -80,7 +78,6 @@
         index: usize,
         spec: &UpstreamSpec,
         login: &Login,
-        log: &Logger,
     ) -> Self {
         let connections = connections(spec);
         Self {
@@ -93,7 +90,6 @@
             transactions: Transactions::open(&limits(spec)),
             held: HashMap::new(),
             used: Time::default(),
-            log: log.new(slog::o!("upstream" => spec.name.to_string())),
         }
     }
 
@@ -122,7 +118,9 @@
 
 fn connections(spec: &UpstreamSpec) -> usize {
     let slots = usize::from(spec.slots);
-    usize::from(spec.connections).saturating_sub(CONTROL_CONNECTIONS).max(slots)
+    usize::from(spec.connections)
+        .saturating_sub(CONTROL_CONNECTIONS)
+        .max(slots)
 }
 
 fn policy(declaration: &Declaration, spec: &UpstreamSpec) -> Policy {
@@ -152,10 +150,15 @@
 fn limits(spec: &UpstreamSpec) -> Limits {
     let spare = connections(spec).saturating_sub(usize::from(spec.slots));
     let share = |parts: usize| (spare * parts / 10).max(1);
-    Limits { idle: TRANSACTION_IDLE, held: [share(5), share(3), share(2)] }
+    Limits {
+        idle: TRANSACTION_IDLE,
+        held: [share(5), share(3), share(2)],
+    }
 }
 
 /// Builds the state of a request that was not run.
 pub(super) fn not_run(reason: Reason) -> State {
-    State::NotRun { reason: reason.to_string() }
+    State::NotRun {
+        reason: reason.to_string(),
+    }
 }
--- a/chervildrift/src/serve/entry.rs
+++ b/chervildrift/src/serve/entry.rs
@@ -20,7 +20,7 @@
 use super::node::Node;
 use crate::peer;
 use crate::peer::message::{GroupState, Load, Reply, Request, State, Step as TransactionStep};
-use crate::work::{Answer, Call, Done, Problem, ProblemKind, Reason, Step};
+use crate::work::{Answer, Call, Done, Problem, ProblemKind, Reason};
 
 /// Time after which a held request is routed again.
 const HOLD_PAUSE: Duration = Duration::from_millis(40);
@@ -75,7 +75,9 @@
 impl Node {
     /// Answers a pending call.
     pub(super) fn conclude_call(&mut self, id: u64, answer: Answer) {
-        let Some(mut pending) = self.entry.calls.remove(&id) else { return };
+        let Some(mut pending) = self.entry.calls.remove(&id) else {
+            return;
+        };
         self.record(&pending, &answer);
         if let Some(reply) = pending.reply.take() {
             // The caller may have gone away.
@@ -86,7 +88,9 @@
     /// Routes a request, or holds it until it can be routed.
     pub(super) fn route(&mut self, id: u64) {
         let now = self.clock.now();
-        let Some(pending) = self.entry.calls.get_mut(&id) else { return };
+        let Some(pending) = self.entry.calls.get_mut(&id) else {
+            return;
+        };
         pending.retry_at = None;
         if now >= pending.deadline {
             return self.give_up(id, Cause::Deadline);
@@ -98,7 +102,9 @@
             return self.give_up(id, Cause::Moved);
         };
         self.learn_locally(now, id);
-        let Some(pending) = self.entry.calls.get_mut(&id) else { return };
+        let Some(pending) = self.entry.calls.get_mut(&id) else {
+            return;
+        };
         let cache = self.entry.caches.entry(pending.group.clone()).or_default();
         let wanted = route::Request {
             write: pending.request.access == peer::message::Access::Write,
@@ -146,14 +152,27 @@
         let group = find_group(declaration, &pending.group)?;
         let placement = &mut self.placement;
         let mut order = |name, zone| -> Ranked {
-            placement.order(name, zone).iter().take(MAX_DISPATCHERS).cloned().collect()
+            placement
+                .order(name, zone)
+                .iter()
+                .take(MAX_DISPATCHERS)
+                .cloned()
+                .collect()
         };
-        Some(group.upstreams.iter().map(|it| order(&it.name, &it.zone)).collect())
+        Some(
+            group
+                .upstreams
+                .iter()
+                .map(|it| order(&it.name, &it.zone))
+                .collect(),
+        )
     }
 
     /// Takes the state of a group that this VM observes itself.
     fn learn_locally(&mut self, now: Time, id: u64) {
-        let Some(pending) = self.entry.calls.get(&id) else { return };
+        let Some(pending) = self.entry.calls.get(&id) else {
+            return;
+        };
         let group = pending.group.clone();
         if let Some(state) = self.group_state(now, &group) {
             self.learn(now, &group, &state, None);
@@ -170,13 +189,19 @@
     ) {
         let bundle = std::sync::Arc::clone(&self.bundle);
         let declaration = bundle.service(group.service.as_str());
-        let Some(spec) = declaration.and_then(|it| find_group(it, group)) else { return };
+        let Some(spec) = declaration.and_then(|it| find_group(it, group)) else {
+            return;
+        };
         let cache = self.entry.caches.entry(group.clone()).or_default();
         let told = spec.upstreams.iter().zip(&state.upstreams).enumerate();
         let upstreams = told.map(|(index, (spec, state))| {
             let known = cache.upstreams.get(index).map(|it| it.queues);
             let fresh = load.filter(|(at, _)| *at == index).map(|(_, load)| load);
-            let own = state.load.iter().any(|load| *load > 0).then_some(state.load);
+            let own = state
+                .load
+                .iter()
+                .any(|load| *load > 0)
+                .then_some(state.load);
             let queues = fresh.or(own).map(queues).or(known);
             route::UpstreamState {
                 zone: spec.zone.clone(),
@@ -198,28 +223,28 @@
 
     fn forward(&mut self, now: Time, id: u64, path: &Path) {
         let number = self.next_number();
-        let Some(pending) = self.entry.calls.get_mut(&id) else { return };
+        let Some(pending) = self.entry.calls.get_mut(&id) else {
+            return;
+        };
         let vm = match &pending.progress {
             Some(Progress::NotSent(attempt)) => attempt.next(&path.dispatchers),
             Some(Progress::MaybeSent(attempt)) => attempt.next(&path.dispatchers),
             None => None,
         };
-        let Some(vm) = vm.cloned() else { return self.give_up(id, Cause::OutOfReach) };
+        let Some(vm) = vm.cloned() else {
+            return self.give_up(id, Cause::OutOfReach);
+        };
         self.send(now, id, number, &vm, path.upstream, path.wait);
     }
 
-    fn send(
-        &mut self,
-        now: Time,
-        id: u64,
-        number: u64,
-        vm: &Vm,
-        upstream: usize,
-        wait: Duration,
-    ) {
-        let Some(name) = self.upstream_name(id, upstream) else { return };
+    fn send(&mut self, now: Time, id: u64, number: u64, vm: &Vm, upstream: usize, wait: Duration) {
+        let Some(name) = self.upstream_name(id, upstream) else {
+            return;
+        };
         let generation = self.generation();
-        let Some(pending) = self.entry.calls.get_mut(&id) else { return };
+        let Some(pending) = self.entry.calls.get_mut(&id) else {
+            return;
+        };
         pending.progress = match pending.progress.take() {
             Some(Progress::NotSent(attempt)) => Some(Progress::MaybeSent(attempt.send(vm))),
             Some(Progress::MaybeSent(attempt)) => match attempt.again(vm) {
@@ -250,7 +275,10 @@
         self.send_to_peer(id, number, address, request, step, deadline, wait);
     }
 
-    #[expect(clippy::too_many_arguments, reason = "one call site that names each of them")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "one call site that names each of them"
+    )]
     fn send_to_peer(
         &self,
         id: u64,
@@ -293,12 +321,16 @@
     /// Takes the end of a try.
     pub(super) fn take_reply(&mut self, id: u64, number: u64, result: Result<Reply, peer::Error>) {
         let now = self.clock.now();
-        let Some(pending) = self.entry.calls.get(&id) else { return };
+        let Some(pending) = self.entry.calls.get(&id) else {
+            return;
+        };
         if pending.number != number {
             // A late answer to an earlier try; the latest try decides.
             return;
         }
-        let Some((vm, upstream, sent)) = pending.target.clone() else { return };
+        let Some((vm, upstream, sent)) = pending.target.clone() else {
+            return;
+        };
         let group = pending.group.clone();
         match result {
             Ok(reply) => {
@@ -322,7 +354,10 @@
     fn heed(&mut self, now: Time, id: u64, upstream: usize, reply: Reply) {
         match reply.state {
             State::Done => self.finish_call(id, upstream, reply),
-            State::Failed { ref code, ref message } => {
+            State::Failed {
+                ref code,
+                ref message,
+            } => {
                 let problem = failed(code, message);
                 self.conclude_call(id, Err(problem));
             }
@@ -333,7 +368,9 @@
 
     fn heed_refusal(&mut self, now: Time, id: u64, text: &str) {
         let reason = text.parse().unwrap_or(Reason::Malformed);
-        let Some(pending) = self.entry.calls.get_mut(&id) else { return };
+        let Some(pending) = self.entry.calls.get_mut(&id) else {
+            return;
+        };
         let number = pending.number;
         let cause = match reason {
             Reason::NotPrimary => {
@@ -370,7 +407,9 @@
                 return self.conclude_call(id, Err(problem));
             }
         };
-        let Some(proof) = Refused::prove(number, number) else { return };
+        let Some(proof) = Refused::prove(number, number) else {
+            return;
+        };
         self.fail_try(now, id, Failure::Refused(proof, cause), cause);
     }
 
@@ -381,8 +420,12 @@
 
     /// Decides what follows a failed try.
     fn fail_try(&mut self, now: Time, id: u64, failure: Failure, cause: Cause) {
-        let Some(pending) = self.entry.calls.get_mut(&id) else { return };
-        let Some(Progress::MaybeSent(attempt)) = pending.progress.take() else { return };
+        let Some(pending) = self.entry.calls.get_mut(&id) else {
+            return;
+        };
+        let Some(Progress::MaybeSent(attempt)) = pending.progress.take() else {
+            return;
+        };
         // A refusal for want of a primary costs the upstreams nothing and is paced, so it takes
         // nothing from the budget; a failover would use it up within milliseconds.
         let free = matches!(cause, Cause::NoPrimary | Cause::Moved);
@@ -393,7 +436,11 @@
         match on_failure(now, attempt, failure, allowed) {
             Next::Retry(attempt) => {
                 pending.progress = Some(Progress::NotSent(attempt));
-                let pause = if cause == Cause::Moved { Duration::ZERO } else { HOLD_PAUSE };
+                let pause = if cause == Cause::Moved {
+                    Duration::ZERO
+                } else {
+                    HOLD_PAUSE
+                };
                 self.retry(now, id, pause);
             }
             Next::Repeat(attempt) => {
@@ -419,7 +466,11 @@
 
     /// Answers a request that can't be routed.
     fn give_up(&mut self, id: u64, cause: Cause) {
-        let progress = self.entry.calls.get_mut(&id).and_then(|it| it.progress.take());
+        let progress = self
+            .entry
+            .calls
+            .get_mut(&id)
+            .and_then(|it| it.progress.take());
         match progress {
             Some(Progress::NotSent(attempt)) => {
                 let answer = attempt.not_run(cause);
@@ -430,13 +481,22 @@
     }
 
     fn conclude_unknown(&mut self, id: u64) {
-        let Some(pending) = self.entry.calls.get(&id) else { return };
+        let Some(pending) = self.entry.calls.get(&id) else {
+            return;
+        };
         let read = pending.request.access == peer::message::Access::Read && pending.step.is_none();
         let problem = if read {
             // A read has no effect, so its loss needs no settling.
-            Problem::not_run(ProblemKind::DeadlineExceeded, "no upstream answered in time")
+            Problem::not_run(
+                ProblemKind::DeadlineExceeded,
+                "no upstream answered in time",
+            )
         } else {
-            let ask = pending.request.idempotency.as_ref().map(|it| ask_path(pending, &it.key));
+            let ask = pending
+                .request
+                .idempotency
+                .as_ref()
+                .map(|it| ask_path(pending, &it.key));
             let detail = "the request may or may not have taken effect; ask for its outcome";
             Problem::unknown(detail, ask)
         };
@@ -444,8 +504,13 @@
     }
 
     fn finish_call(&mut self, id: u64, upstream: usize, reply: Reply) {
-        let Some(pending) = self.entry.calls.get(&id) else { return };
-        let age = reply.group.as_ref().and_then(|it| it.upstreams.get(upstream)?.age);
+        let Some(pending) = self.entry.calls.get(&id) else {
+            return;
+        };
+        let age = reply
+            .group
+            .as_ref()
+            .and_then(|it| it.upstreams.get(upstream)?.age);
         let read = pending.request.access == peer::message::Access::Read;
         let opened = pending.step == Some(TransactionStep::Open);
         let session = match reply.mark {
@@ -466,7 +531,10 @@
     fn seal(&self, pending: &Pending, mark: Mark) -> String {
         let mut tokens = pending.tokens.clone();
         tokens.retain(|token| token.group != pending.group);
-        tokens.push(Token { group: pending.group.clone(), mark });
+        tokens.push(Token {
+            group: pending.group.clone(),
+            mark,
+        });
         self.sealer.seal_session(&tokens)
     }
 
@@ -482,7 +550,9 @@
             return;
         }
         let choice = self.rng.below(others.len() as u64) as usize;
-        let Some(address) = self.address(others[choice]) else { return };
+        let Some(address) = self.address(others[choice]) else {
+            return;
+        };
         self.entry.asking.insert(group.clone(), now);
         let (peers, inputs, group) = (self.peers.clone(), self.inputs.clone(), group.clone());
         let deadline = self.clock.instant(now + ASK_LIMIT);
@@ -530,9 +600,13 @@
 
 /// Tells whether the dispatcher's queue is known to be too long for the request.
 fn sheds(now: Time, cache: &GroupCache, path: &Path, pending: &Pending) -> bool {
-    let Some(state) = cache.upstreams.get(path.upstream) else { return false };
+    let Some(state) = cache.upstreams.get(path.upstream) else {
+        return false;
+    };
     let known = state.queues[pending.request.rank.index()];
-    let age = cache.learnt.map_or(Duration::MAX, |learnt| now.since(learnt));
+    let age = cache
+        .learnt
+        .map_or(Duration::MAX, |learnt| now.since(learnt));
     // Commits and rollbacks free what others wait for.
     pending.step.is_none() && known.saturating_sub(age) > pending.deadline.since(now)
 }
@@ -552,11 +626,11 @@
 }
 
 /// Returns the group of that id.
-pub(super) fn find_group<'a>(
-    declaration: &'a Declaration,
-    id: &GroupId,
-) -> Option<&'a GroupSpec> {
-    declaration.groups.iter().find(|group| group.instance == id.instance)
+pub(super) fn find_group<'a>(declaration: &'a Declaration, id: &GroupId) -> Option<&'a GroupSpec> {
+    declaration
+        .groups
+        .iter()
+        .find(|group| group.instance == id.instance)
 }
 
 fn ask_path(pending: &Pending, record: &str) -> String {
@@ -566,7 +640,11 @@
         percent_encoding::utf8_percent_encode(text, percent_encoding::NON_ALPHANUMERIC).to_string()
     };
     let key = encode(&pending.request.key);
-    format!("/v1/outcomes/{}/{key}/{}", pending.group.service, encode(record))
+    format!(
+        "/v1/outcomes/{}/{key}/{}",
+        pending.group.service,
+        encode(record)
+    )
 }
 
 fn failed(code: &str, message: &str) -> Problem {
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -17,10 +17,10 @@
 use crate::peer::message::{Inbound, Pong};
 
 /// Table and key of the head record.
-pub(crate) const HEAD_TABLE: &str = "config";
+pub const HEAD_TABLE: &str = "config";
 
 /// Key of the head record.
-pub(crate) const HEAD_KEY: &str = "head";
+pub const HEAD_KEY: &str = "head";
 
 /// Time between two reads of the platform's list of VMs.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
@@ -64,7 +64,10 @@
                 | peer::Error::Disconnected { .. }
         );
         if silent {
-            let event = membership::Event::Evidence { vm: vm.clone(), reachable: false };
+            let event = membership::Event::Evidence {
+                vm: vm.clone(),
+                reachable: false,
+            };
             let actions = self.membership.handle(now, event);
             self.carry_out(now, actions);
         }
@@ -98,7 +101,8 @@
     fn change_member(&mut self, member: &Member) -> bool {
         info!(self.log, "member changed"; "member" => %member.vm, "state" => %member.state,
             "incarnation" => %member.incarnation, "leaving" => member.leaving);
-        self.addresses.insert(member.vm.clone(), member.place.address);
+        self.addresses
+            .insert(member.vm.clone(), member.place.address);
         let live = member.state.is_member() && !member.leaving;
         if live {
             self.placement.add(&member.vm, &member.place.zone);
@@ -112,12 +116,14 @@
     }
 
     /// Tells whether this VM polls the platform's head record.
-    fn place_pollers(&mut self, now: Time) {
+    pub(super) fn place_pollers(&mut self, now: Time) {
         let zone = &self.settings.zone;
-        let poller = placement::pollers(zone, self.membership.live())
-            .iter()
-            .any(|vm| **vm == self.settings.vm);
-        let actions = self.generations.handle(now, generation::Event::Poller(poller));
+        let own = self.membership.live().filter(|(_, place)| *place == zone);
+        let pollers = placement::pollers(zone, own.map(|(vm, _)| vm));
+        let poller = pollers.contains(&self.settings.vm);
+        let actions = self
+            .generations
+            .handle(now, generation::Event::Poller(poller));
         self.configure(now, actions);
     }
 
@@ -149,8 +155,13 @@
         info!(self.log, "configuration in force"; "generation" => version.generation,
             "hash" => %version.hash);
         self.bundle = Arc::new(bundle);
-        self.shared.metrics.generation.set(version.generation as i64);
-        let actions = self.membership.handle(now, membership::Event::Version(version));
+        self.shared
+            .metrics
+            .generation
+            .set(version.generation as i64);
+        let actions = self
+            .membership
+            .handle(now, membership::Event::Version(version));
         self.carry_out(now, actions);
         self.reconcile(now);
     }
@@ -170,7 +181,11 @@
         let deadline = self.clock.instant(now + BUNDLE_LIMIT);
         self.io.spawn(async move {
             let body = match address {
-                Some(to) => peers.bundle(to, hash.to_string(), deadline).await.ok().flatten(),
+                Some(to) => peers
+                    .bundle(to, hash.to_string(), deadline)
+                    .await
+                    .ok()
+                    .flatten(),
                 None => None,
             };
             let _ended = inputs.send(Input::Body(hash, body));
@@ -211,14 +226,20 @@
     fn list(&self) {
         let (platform, inputs) = (self.platform.clone(), self.inputs.clone());
         self.io.spawn(async move {
-            let Ok(listed) = platform.vms().await else { return };
+            let Ok(listed) = platform.vms().await else {
+                return;
+            };
             let leaving = listed.iter().filter(|it| it.state == LEAVING);
             let leaving = leaving.map(|it| it.name.clone()).collect();
             let seed = |it: &crate::platform::ListedVm| Seed {
                 vm: Some(Vm::from(it.name.as_str())),
                 address: it.address,
             };
-            let seeds = listed.iter().filter(|it| it.state != LEAVING).map(seed).collect();
+            let seeds = listed
+                .iter()
+                .filter(|it| it.state != LEAVING)
+                .map(seed)
+                .collect();
             let _ended = inputs.send(Input::Listed(seeds, leaving));
         });
     }
@@ -227,7 +248,11 @@
     pub(super) fn take_list(&mut self, mut seeds: Vec<Seed>, leaving: Vec<String>) {
         let now = self.clock.now();
         let upstreams: std::collections::HashSet<String> = self.upstream_names();
-        seeds.retain(|it| it.vm.as_ref().is_none_or(|vm| !upstreams.contains(vm.as_str())));
+        seeds.retain(|it| {
+            it.vm
+                .as_ref()
+                .is_none_or(|vm| !upstreams.contains(vm.as_str()))
+        });
         let actions = self.membership.handle(now, membership::Event::Seeds(seeds));
         self.carry_out(now, actions);
         let named = leaving.into_iter().filter(|name| upstreams.contains(name));
@@ -236,7 +261,10 @@
 
     fn upstream_names(&self) -> std::collections::HashSet<String> {
         let groups = self.bundle.declarations().iter().flat_map(|it| &it.groups);
-        groups.flat_map(|it| &it.upstreams).map(|it| it.name.to_string()).collect()
+        groups
+            .flat_map(|it| &it.upstreams)
+            .map(|it| it.name.to_string())
+            .collect()
     }
 
     /// Takes new work away from leaving upstreams and moves their primaries.
@@ -272,7 +300,11 @@
         let now = self.clock.now();
         match inbound {
             Inbound::Forward { request, reply } => self.serve_remote(request, None, reply),
-            Inbound::Transaction { step, request, reply } => {
+            Inbound::Transaction {
+                step,
+                request,
+                reply,
+            } => {
                 self.serve_remote(request, Some(step), reply);
             }
             Inbound::GroupState { group, reply } => {
@@ -291,7 +323,10 @@
                 let _gone = reply.send(true);
             }
             Inbound::Ping { reply } => {
-                let pong = Pong { generation: self.generation(), load: Default::default() };
+                let pong = Pong {
+                    generation: self.generation(),
+                    load: Default::default(),
+                };
                 let _gone = reply.send(pong);
             }
             Inbound::LinkFailed { peer, error } => {
--- a/chervildrift/src/serve/group.rs
+++ b/chervildrift/src/serve/group.rs
@@ -9,6 +9,7 @@
 use chervildrift_core::group::{Confirmation, GroupView};
 use chervildrift_core::rng::Rng;
 use chervildrift_core::types::{GroupId, Mark, Term, Time, Upstream};
+use slog::{Logger, debug};
 use smallvec::SmallVec;
 use tokio::runtime;
 use tokio::sync::mpsc::UnboundedSender;
@@ -16,8 +17,8 @@
 use super::Input;
 use super::clock::Clock;
 use super::dispatcher::ReplyTo;
-use crate::peer::message::{GroupState, UpstreamState};
 use crate::peer::Reply;
+use crate::peer::message::{GroupState, UpstreamState};
 use crate::upstream::{Control, Login, Vote};
 
 /// Time limit of a status read or an order, below the detection time of a lost primary.
@@ -57,6 +58,7 @@
 pub(super) struct Outside<'a> {
     pub io: &'a runtime::Handle,
     pub clock: Clock,
+    pub log: &'a Logger,
     pub inputs: &'a UnboundedSender<Input>,
 }
 
@@ -81,7 +83,11 @@
             coordinator,
             unconfirmed: Vec::new(),
             primary: None,
-            controls: spec.upstreams.iter().map(|it| control(it.address)).collect(),
+            controls: spec
+                .upstreams
+                .iter()
+                .map(|it| control(it.address))
+                .collect(),
             reading: SmallVec::from_elem(false, names.len()),
         }
     }
@@ -111,7 +117,11 @@
                 Action::ReadStatus { index } => self.read(index, Duration::ZERO, outside),
                 Action::Fence { index, term } => self.fence(index, term, outside),
                 Action::Promote { index, term } => self.promote(index, term, outside),
-                Action::Follow { index, primary, term } => {
+                Action::Follow {
+                    index,
+                    primary,
+                    term,
+                } => {
                     self.follow(index, primary, term, outside);
                 }
                 Action::Hold | Action::Resume => rest.push(action),
@@ -122,70 +132,114 @@
 
     /// Reads the status of an upstream unless a read of it is under way.
     fn read(&mut self, index: usize, pause: Duration, outside: &Outside<'_>) {
-        let Some(control) = self.controls.get(index).map(Arc::clone) else { return };
+        let Some(control) = self.control(index) else {
+            return;
+        };
         if std::mem::replace(&mut self.reading[index], true) {
             return;
         }
         let (group, clock, inputs) = (self.id.clone(), outside.clock, outside.inputs.clone());
+        let log = outside.log.clone();
         outside.io.spawn(async move {
             if !pause.is_zero() {
                 tokio::time::sleep(pause).await;
             }
             let sent = clock.now();
-            let status = control.status().await.ok();
+            let status = control.status().await;
+            let status = status.inspect_err(|err| {
+                debug!(log, "status read failed"; "group" => %group, "index" => index,
+                    "error" => %err);
+            });
+            let status = status.ok();
             // The event loop has ended if nobody takes the answer.
-            let _ended = inputs.send(Input::Group(group, Event::Observed { index, sent, status }));
+            let _ended = inputs.send(Input::Group(
+                group,
+                Event::Observed {
+                    index,
+                    sent,
+                    status,
+                },
+            ));
         });
     }
 
     fn fence(&self, index: usize, term: Term, outside: &Outside<'_>) {
+        let Some(control) = self.control(index) else {
+            return;
+        };
         let promoter = self.coordinator.promoter().clone();
-        self.order(index, outside, async move |control| {
+        self.order(outside, async move {
             let vote = control.fence(term, promoter.as_str()).await.ok();
-            Some(Event::Fenced { index, term, answer: vote.map(answer) })
+            Some(Event::Fenced {
+                index,
+                term,
+                answer: vote.map(answer),
+            })
         });
     }
 
     fn promote(&self, index: usize, term: Term, outside: &Outside<'_>) {
+        let Some(control) = self.control(index) else {
+            return;
+        };
         let promoter = self.coordinator.promoter().clone();
-        self.order(index, outside, async move |control| {
+        self.order(outside, async move {
             let vote = control.promote(term, promoter.as_str()).await.ok();
-            Some(Event::Promoted { index, term, answer: vote.map(answer) })
+            Some(Event::Promoted {
+                index,
+                term,
+                answer: vote.map(answer),
+            })
         });
     }
 
     fn follow(&self, index: usize, primary: usize, term: Term, outside: &Outside<'_>) {
-        let Some(address) = self.address(primary) else { return };
-        self.order(index, outside, async move |control| {
+        let Some(control) = self.control(index) else {
+            return;
+        };
+        let Some(address) = self.address(primary) else {
+            return;
+        };
+        self.order(outside, async move {
             // The next status read shows whether the upstream follows.
             let _result = control.follow(address, term).await;
             None
         });
     }
 
-    fn order<F>(&self, index: usize, outside: &Outside<'_>, run: F)
-    where
-        F: AsyncFnOnce(Arc<Control>) -> Option<Event> + Send + 'static,
-        for<'a> F::CallOnceFuture: Send,
-    {
-        let Some(control) = self.controls.get(index).map(Arc::clone) else { return };
+    /// Runs an order outside the event loop and brings its result back.
+    fn order(
+        &self,
+        outside: &Outside<'_>,
+        run: impl Future<Output = Option<Event>> + Send + 'static,
+    ) {
         let (group, inputs) = (self.id.clone(), outside.inputs.clone());
         outside.io.spawn(async move {
-            if let Some(event) = run(control).await {
+            if let Some(event) = run.await {
                 let _ended = inputs.send(Input::Group(group, event));
             }
         });
     }
 
+    fn control(&self, index: usize) -> Option<Arc<Control>> {
+        self.controls.get(index).map(Arc::clone)
+    }
+
     fn address(&self, index: usize) -> Option<SocketAddr> {
         self.spec.upstreams.get(index).map(|it| it.address)
     }
 
     /// Reads the statuses that the waiting writes need.
     pub(super) fn seek_confirmation(&mut self, now: Time, outside: &Outside<'_>) {
-        let Some(oldest) = self.unconfirmed.first() else { return };
+        let Some(oldest) = self.unconfirmed.first() else {
+            return;
+        };
         let patient = now.since(oldest.since) > CONFIRM_PAUSE;
-        let pause = if patient { CONFIRM_PAUSE } else { Duration::ZERO };
+        let pause = if patient {
+            CONFIRM_PAUSE
+        } else {
+            Duration::ZERO
+        };
         for index in 0..self.controls.len() {
             self.read(index, pause, outside);
         }
@@ -239,8 +293,12 @@
 
 fn answer(vote: Vote) -> failover::Answer {
     if vote.granted {
-        failover::Answer::Granted { received: vote.received }
+        failover::Answer::Granted {
+            received: vote.received,
+        }
     } else {
-        failover::Answer::Refused { fenced: vote.fenced }
+        failover::Answer::Refused {
+            fenced: vote.fenced,
+        }
     }
 }
--- a/chervildrift/src/serve/mod.rs
+++ b/chervildrift/src/serve/mod.rs
@@ -31,6 +31,7 @@
 use crate::work::{Answer, Call};
 
 pub use self::error::Error;
+pub use self::fleet::{HEAD_KEY, HEAD_TABLE};
 pub use self::start::{Handle, spawn};
 
 /// Period of the event loop's ticks.
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -19,7 +19,7 @@
 use super::clock::Clock;
 use super::dispatcher::Dispatcher;
 use super::entry::Entry;
-use super::group::{Group, Outside};
+use super::group::Group;
 use super::{Input, Shared};
 use crate::peer::message::GroupState;
 use crate::platform::Platform;
@@ -64,6 +64,7 @@
         $crate::serve::group::Outside {
             io: &$node.io,
             clock: $node.clock,
+            log: &$node.log,
             inputs: &$node.inputs,
         }
     };
@@ -113,17 +114,33 @@
 
     /// Counts the status that came with a read as a status read.
     pub(super) fn observe(&mut self, name: &Upstream, sent: Time, status: Status) {
-        let Some(dispatcher) = self.dispatchers.get(name) else { return };
+        let Some(dispatcher) = self.dispatchers.get(name) else {
+            return;
+        };
         let (group, index) = (dispatcher.group.clone(), dispatcher.index);
-        self.group_event(&group, Event::Observed { index, sent, status: Some(status) });
+        self.group_event(
+            &group,
+            Event::Observed {
+                index,
+                sent,
+                status: Some(status),
+            },
+        );
     }
 
     /// Tells a group's coordinator of an event and carries out what follows.
     pub(super) fn group_event(&mut self, id: &GroupId, event: Event) {
         let now = self.clock.now();
         let outside = outside!(self);
-        let Some(group) = self.groups.get_mut(id) else { return };
-        if let Event::Promoted { index, term, answer } = event {
+        let Some(group) = self.groups.get_mut(id) else {
+            return;
+        };
+        if let Event::Promoted {
+            index,
+            term,
+            answer,
+        } = event
+        {
             info!(self.log, "promotion ended"; "group" => %id, "index" => index,
                 "term" => %term, "answer" => ?answer);
         }
@@ -197,8 +214,7 @@
                 self.observe_group(&group, spec);
                 let upstream = &spec.upstreams[index];
                 let login = self.login();
-                let dispatcher =
-                    Dispatcher::open(declaration, group, index, upstream, &login, &self.log);
+                let dispatcher = Dispatcher::open(declaration, group, index, upstream, &login);
                 self.dispatchers.insert(name.clone(), dispatcher);
                 return true;
             }
@@ -230,8 +246,8 @@
     fn candidates(&mut self, id: &GroupId) -> Vec<Vm> {
         let bundle = Arc::clone(&self.bundle);
         let declaration = bundle.service(id.service.as_str());
-        let group = declaration
-            .and_then(|it| it.groups.iter().find(|group| group.instance == id.instance));
+        let group =
+            declaration.and_then(|it| it.groups.iter().find(|group| group.instance == id.instance));
         let mut vms = Vec::new();
         for spec in group.map(|it| it.upstreams.as_slice()).unwrap_or_default() {
             if let Some(vm) = self.placement.dispatcher(&spec.name, &spec.zone)
@@ -266,7 +282,9 @@
 
     /// Gives a group its new rank or, when its upstreams changed, a new observer.
     fn refresh_group(&mut self, id: &GroupId, spec: &chervildrift_core::config::GroupSpec) {
-        let Some(group) = self.groups.get(id) else { return };
+        let Some(group) = self.groups.get(id) else {
+            return;
+        };
         if group.spec != *spec && group.unconfirmed.is_empty() {
             self.groups.remove(id);
             self.observe_group(id, spec);
@@ -290,9 +308,4 @@
             !group.unconfirmed.is_empty() || dispatchers.values().any(|it| it.group == *id)
         });
     }
-
-    /// Returns what actions outside the event loop need.
-    pub(super) const fn outside(&self) -> Outside<'_> {
-        outside!(self)
-    }
 }
--- a/chervildrift/src/serve/observe.rs
+++ b/chervildrift/src/serve/observe.rs
@@ -23,11 +23,21 @@
             Err(problem) => problem.kind.to_string(),
         };
         let metrics = &self.shared.metrics;
-        metrics.requests.with_label_values(&[service, kind, &rank, &result]).inc();
-        metrics.latency.with_label_values(&[service, &rank]).observe(took.as_secs_f64());
+        metrics
+            .requests
+            .with_label_values(&[service, kind, &rank, &result])
+            .inc();
+        metrics
+            .latency
+            .with_label_values(&[service, &rank])
+            .observe(took.as_secs_f64());
         if let (Ok(done), Access::Read) = (answer, request.access) {
             let by = self.served_by(pending, done.upstream.as_deref());
-            self.shared.metrics.reads.with_label_values(&[service, by]).inc();
+            self.shared
+                .metrics
+                .reads
+                .with_label_values(&[service, by])
+                .inc();
         }
         debug!(self.log, "answered"; "request" => format!("{:016x}", request.id),
             "service" => service, "kind" => kind, "result" => &result,
@@ -49,7 +59,9 @@
     fn record_burn(&mut self, pending: &Pending, answered: bool, took: Duration) {
         let declaration = self.bundle.service(pending.group.service.as_str());
         let kind = declaration.and_then(|it| it.kind(pending.request.kind.as_str()));
-        let Some(Objective { within_ms, .. }) = kind.and_then(|it| it.objective) else { return };
+        let Some(Objective { within_ms, .. }) = kind.and_then(|it| it.objective) else {
+            return;
+        };
         let good = answered && took <= Duration::from_millis(within_ms);
         let _ = good;
     }
--- a/chervildrift/src/serve/serving.rs
+++ b/chervildrift/src/serve/serving.rs
@@ -9,11 +9,11 @@
 use serde_json::Value;
 use slog::{debug, warn};
 
+use super::Input;
 use super::dispatcher::{Dispatcher, Held, Job, ReplyTo, not_run};
 use super::group::Unconfirmed;
 use super::node::{Node, outside};
 use super::task::{OpenTransaction, Ran, Task, run};
-use super::Input;
 use crate::peer::message::{Access, Request, Step};
 use crate::peer::{Reply, State};
 use crate::upstream::{Error, Record, Settled, Statement, Written};
@@ -36,7 +36,14 @@
         match self.prepare(now, &request, step) {
             Ok(task) => {
                 let sent = Time::default();
-                let job = Job { request, step, deadline, task: Some(task), sent, reply };
+                let job = Job {
+                    request,
+                    step,
+                    deadline,
+                    task: Some(task),
+                    sent,
+                    reply,
+                };
                 self.submit(now, &name, job);
             }
             Err(reason) => self.answer(reply, not_run(reason), Some(&name)),
@@ -44,7 +51,12 @@
     }
 
     /// Checks what can be checked before the request takes a place in a queue.
-    fn prepare(&mut self, now: Time, request: &Request, step: Option<Step>) -> Result<Task, Reason> {
+    fn prepare(
+        &mut self,
+        now: Time,
+        request: &Request,
+        step: Option<Step>,
+    ) -> Result<Task, Reason> {
         let statements = parse(request)?;
         let record = request.idempotency.as_ref().map(|it| Record {
             key: it.key.clone(),
@@ -75,17 +87,37 @@
     }
 
     fn check_primary(&self, request: &Request) -> Result<(), Reason> {
-        let dispatcher = self.dispatchers.get(&request.upstream).ok_or(Reason::Undeclared)?;
-        let group = self.groups.get(&dispatcher.group).ok_or(Reason::Undeclared)?;
+        let dispatcher = self
+            .dispatchers
+            .get(&request.upstream)
+            .ok_or(Reason::Undeclared)?;
+        let group = self
+            .groups
+            .get(&dispatcher.group)
+            .ok_or(Reason::Undeclared)?;
         let primary = group.coordinator.view().primary();
-        if primary == Some(dispatcher.index) { Ok(()) } else { Err(Reason::NotPrimary) }
+        if primary == Some(dispatcher.index) {
+            Ok(())
+        } else {
+            Err(Reason::NotPrimary)
+        }
     }
 
     /// Takes an idle transaction for its next step; only its own caller may.
-    fn take_transaction(&mut self, now: Time, request: &Request) -> Result<OpenTransaction, Reason> {
-        let dispatcher = self.dispatchers.get_mut(&request.upstream).ok_or(Reason::Undeclared)?;
+    fn take_transaction(
+        &mut self,
+        now: Time,
+        request: &Request,
+    ) -> Result<OpenTransaction, Reason> {
+        let dispatcher = self
+            .dispatchers
+            .get_mut(&request.upstream)
+            .ok_or(Reason::Undeclared)?;
         let id = transaction_id(request).ok_or(Reason::UnknownTransaction)?;
-        let held = dispatcher.held.get_mut(&id).ok_or(Reason::UnknownTransaction)?;
+        let held = dispatcher
+            .held
+            .get_mut(&id)
+            .ok_or(Reason::UnknownTransaction)?;
         if held.caller != request.caller {
             return Err(Reason::UnknownTransaction);
         }
@@ -103,7 +135,9 @@
 
     fn submit(&mut self, now: Time, name: &Upstream, job: Job) {
         let id = JobId(self.next_number());
-        let Some(dispatcher) = self.dispatchers.get_mut(name) else { return };
+        let Some(dispatcher) = self.dispatchers.get_mut(name) else {
+            return;
+        };
         dispatcher.used = now;
         if job.step == Some(Step::Open) && !enroll(dispatcher, now, &job.request) {
             return self.answer(job.reply, not_run(Reason::Overloaded), Some(name));
@@ -139,10 +173,16 @@
 
     /// Starts the jobs that get a slot and answers those that no longer can finish in time.
     pub(super) fn pump(&mut self, now: Time, name: &Upstream) {
-        let Some(dispatcher) = self.dispatchers.get_mut(name) else { return };
+        let Some(dispatcher) = self.dispatchers.get_mut(name) else {
+            return;
+        };
         while let Some(id) = dispatcher.scheduler.next(now) {
-            let Some(job) = dispatcher.jobs.get_mut(&id) else { continue };
-            let Some(task) = job.task.take() else { continue };
+            let Some(job) = dispatcher.jobs.get_mut(&id) else {
+                continue;
+            };
+            let Some(task) = job.task.take() else {
+                continue;
+            };
             job.sent = now;
             let limit = job.deadline.since(now);
             let (pool, inputs) = (dispatcher.pool.clone(), self.inputs.clone());
@@ -158,7 +198,10 @@
     }
 
     fn expire_job(&mut self, now: Time, name: &Upstream, id: JobId) {
-        let job = self.dispatchers.get_mut(name).and_then(|it| it.jobs.remove(&id));
+        let job = self
+            .dispatchers
+            .get_mut(name)
+            .and_then(|it| it.jobs.remove(&id));
         if let Some(job) = job {
             self.refuse(now, name, job, Reason::Deadline);
         }
@@ -167,7 +210,9 @@
     /// Takes the result of a job.
     pub(super) fn finish_job(&mut self, name: &Upstream, id: JobId, ran: Ran) {
         let now = self.clock.now();
-        let Some(dispatcher) = self.dispatchers.get_mut(name) else { return };
+        let Some(dispatcher) = self.dispatchers.get_mut(name) else {
+            return;
+        };
         dispatcher.scheduler.finish(now, id, finish(&ran));
         if let Some(job) = dispatcher.jobs.remove(&id) {
             self.conclude(now, name, job, ran);
@@ -180,7 +225,11 @@
             Ran::NoConnection(err) => {
                 debug!(self.log, "no connection"; "upstream" => %name, "error" => %err);
                 let exhausted = matches!(err, Error::Exhausted);
-                let reason = if exhausted { Reason::Overloaded } else { Reason::NoConnection };
+                let reason = if exhausted {
+                    Reason::Overloaded
+                } else {
+                    Reason::NoConnection
+                };
                 self.end_transaction(name, &job);
                 self.answer(job.reply, not_run(reason), Some(name));
             }
@@ -235,6 +284,10 @@
             Settled::RolledBack(Error::NotPrimary) => {
                 self.answer(job.reply, not_run(Reason::NotPrimary), Some(name));
             }
+            // A rolled-back write may be tried again under its key, like one that was lost.
+            Settled::RolledBack(err) if is_passing(&err) => {
+                self.answer(job.reply, State::Unknown, Some(name));
+            }
             Settled::RolledBack(err) => self.answer(job.reply, failed(&err), Some(name)),
             Settled::Unknown(err) => {
                 warn!(self.log, "outcome of a write is unknown";
@@ -247,7 +300,11 @@
 
     /// Keeps a committed write until a majority of the group has received it.
     fn await_confirmation(&mut self, now: Time, name: &Upstream, job: Job, written: Written) {
-        let state = if written.cancelled { not_run(Reason::Cancelled) } else { State::Done };
+        let state = if written.cancelled {
+            not_run(Reason::Cancelled)
+        } else {
+            State::Done
+        };
         let mut success = self.reply(state, Some(name));
         success.mark = Some(written.mark);
         success.answer = written.answer.into_bytes();
@@ -258,17 +315,23 @@
             success,
             reply: job.reply,
         };
-        let Some(dispatcher) = self.dispatchers.get(name) else { return };
+        let Some(dispatcher) = self.dispatchers.get(name) else {
+            return;
+        };
         let id = dispatcher.group.clone();
         let outside = outside!(self);
-        let Some(group) = self.groups.get_mut(&id) else { return };
+        let Some(group) = self.groups.get_mut(&id) else {
+            return;
+        };
         group.unconfirmed.push(write);
         group.seek_confirmation(now, &outside);
     }
 
     /// Answers a write whose wait for confirmation is over.
     pub(super) fn confirm(&self, outcome: Confirmation, write: Unconfirmed) {
-        let Unconfirmed { mut success, reply, .. } = write;
+        let Unconfirmed {
+            mut success, reply, ..
+        } = write;
         if outcome != Confirmation::Confirmed {
             success.state = State::Unknown;
             success.answer = Vec::new();
@@ -316,9 +379,12 @@
 }
 
 fn parse(request: &Request) -> Result<Vec<Statement>, Reason> {
-    let statement = |it: &crate::peer::Statement| {
+    let statement = |it: &crate::peer::message::Statement| {
         let params = serde_json::from_str(&it.params).map_err(|_err| Reason::Malformed)?;
-        Ok(Statement { sql: it.sql.clone(), params })
+        Ok(Statement {
+            sql: it.sql.clone(),
+            params,
+        })
     };
     request.statements.iter().map(statement).collect()
 }
@@ -332,12 +398,23 @@
 
 /// Opens the account of a transaction whose first statements are about to run.
 fn enroll(dispatcher: &mut Dispatcher, now: Time, request: &Request) -> bool {
-    let Some(id) = transaction_id(request) else { return false };
+    let Some(id) = transaction_id(request) else {
+        return false;
+    };
     let begun = dispatcher.transactions.begin(now, id, request.rank);
-    if begun.and_then(|()| dispatcher.transactions.start(now, id)).is_err() {
+    if begun
+        .and_then(|()| dispatcher.transactions.start(now, id))
+        .is_err()
+    {
         return false;
     }
-    dispatcher.held.insert(id, Held { caller: request.caller.clone(), idle: None });
+    dispatcher.held.insert(
+        id,
+        Held {
+            caller: request.caller.clone(),
+            idle: None,
+        },
+    );
     true
 }
 
@@ -390,8 +467,23 @@
         _ => "transaction-lost",
     };
     let message = err.message().map_or_else(|| err.to_string(), str::to_owned);
-    let state = err.sqlstate().map(|state| format!("SQLSTATE {state}: ")).unwrap_or_default();
-    State::Failed { code: code.to_owned(), message: format!("{state}{message}") }
+    let state = err
+        .sqlstate()
+        .map(|state| format!("SQLSTATE {state}: "))
+        .unwrap_or_default();
+    State::Failed {
+        code: code.to_owned(),
+        message: format!("{state}{message}"),
+    }
+}
+
+/// Tells whether a failure has to do with the upstream's state and not with the statement.
+fn is_passing(err: &Error) -> bool {
+    match err.sqlstate() {
+        // Aborted by a fence, not the primary any more, too many connections, shutting down.
+        Some(state) => matches!(state, "40001" | "25006" | "53300") || state.starts_with("57P"),
+        None => matches!(err, Error::Statement(_) | Error::Timeout(_)),
+    }
 }
 
 /// A read has no effect, so one that got no answer counts as not run.
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -25,11 +26,11 @@
 use super::entry::Entry;
 use super::node::Node;
 use super::{Error, Input, Shared, TICK};
+use crate::gossip;
 use crate::http::{self, CallersHandle, Credentials, OperatorsHandle, Probe};
 use crate::metrics::Metrics;
 use crate::peer::{self, FleetKey};
 use crate::platform::Platform;
-use crate::gossip;
 
 /// Threads for the sockets of upstreams, platform and membership.
 const IO_THREADS: usize = 2;
@@ -56,7 +57,19 @@
     settings: Settings,
     log: Logger,
     /// Ends the sockets' tasks when it is dropped.
-    _io: Runtime,
+    _io: Sockets,
+}
+
+/// Runtime of the sockets' tasks, which may be dropped inside another runtime.
+#[derive(Debug)]
+struct Sockets(Option<Runtime>);
+
+impl Drop for Sockets {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
 }
 
 impl Handle {
@@ -87,7 +100,10 @@
         let _ended = self.inputs.send(Input::Stop(reply));
         self.callers.close_connections();
         tokio::time::sleep(Duration::from_millis(self.settings.stop.ready_ms)).await;
-        let answered = self.callers.stop(Duration::from_millis(self.settings.stop.drain_ms)).await;
+        let answered = self
+            .callers
+            .stop(Duration::from_millis(self.settings.stop.drain_ms))
+            .await;
         let drained = drained.await.unwrap_or(false);
         self.peers.stop(FAREWELL).await;
         self.operators.stop();
@@ -97,9 +113,12 @@
 }
 
 /// Starts a VM.
-pub fn spawn(settings: Settings, log: Logger) -> Result<Handle, Error> {
+pub fn spawn(settings: Settings, _record: Option<&Path>, log: Logger) -> Result<Handle, Error> {
     let clock = Clock::open();
-    let io = Builder::new_multi_thread().worker_threads(IO_THREADS).enable_all().build()?;
+    let io = Builder::new_multi_thread()
+        .worker_threads(IO_THREADS)
+        .enable_all()
+        .build()?;
     let (inputs, queue) = mpsc::unbounded_channel();
     let shared = Arc::new(Shared {
         ready: AtomicBool::new(false),
@@ -112,9 +131,19 @@
     let key = FleetKey::open(&hex::decode(&settings.keys.fleet_hex)?)?;
     let peers = bind_peers(&settings, &key, &io, &inputs)?;
     let gossip = bind_gossip(&settings, &key, peers.address(), &io, &inputs)?;
-    let platform = Platform::open(settings.platform.address, crate::platform::Limits::default())?;
-    let place = Place { zone: settings.zone.clone(), address: peers.address() };
-    let me = Me { vm: settings.vm.clone(), place, boot };
+    let platform = Platform::open(
+        settings.platform.address,
+        crate::platform::Limits::default(),
+    )?;
+    let place = Place {
+        zone: settings.zone.clone(),
+        address: peers.address(),
+    };
+    let me = Me {
+        vm: settings.vm.clone(),
+        place,
+        boot,
+    };
     let mut placement = Placement::open();
     placement.add(&settings.vm, &settings.zone);
     let node = Node {
@@ -143,12 +172,22 @@
         number: 0,
         settings: settings.clone(),
     };
-    thread::Builder::new().name("event-loop".into()).spawn(move || run(node, queue))?;
+    thread::Builder::new()
+        .name("event-loop".into())
+        .spawn(move || run(node, queue))?;
     let callers = bind_callers(&settings, seed, &inputs)?;
     let operators = http::bind_operators(settings.operators.listen, probe(clock, &shared))?;
     info!(log, "started"; "callers" => %callers.address(), "operators" => %operators.address(),
         "peers" => %peers.address());
-    Ok(Handle { callers, operators, peers, inputs, settings, log, _io: io })
+    Ok(Handle {
+        callers,
+        operators,
+        peers,
+        inputs,
+        settings,
+        log,
+        _io: Sockets(Some(io)),
+    })
 }
 
 fn bind_peers(
@@ -184,7 +223,11 @@
     inputs: &UnboundedSender<Input>,
 ) -> Result<gossip::Handle, Error> {
     let (sender, mut inbound) = mpsc::channel(PEER_QUEUE);
-    let options = gossip::Options { address, name: settings.vm.clone(), key: key.clone() };
+    let options = gossip::Options {
+        address,
+        name: settings.vm.clone(),
+        key: key.clone(),
+    };
     let _runtime = io.enter();
     let handle = gossip::bind(options, sender)?;
     let inputs = inputs.clone();
@@ -209,12 +252,21 @@
         let _ended = inputs.send(Input::Call(call, reply));
     };
     let credentials = Credentials::open(&settings.credentials);
-    Ok(http::bind_callers(&settings.callers, credentials, first_id, Box::new(submit))?)
+    Ok(http::bind_callers(
+        &settings.callers,
+        credentials,
+        first_id,
+        Box::new(submit),
+    )?)
 }
 
 fn probe(clock: Clock, shared: &Arc<Shared>) -> Probe {
-    let (live, ready, metrics, burn) =
-        (Arc::clone(shared), Arc::clone(shared), Arc::clone(shared), Arc::clone(shared));
+    let (live, ready, metrics, burn) = (
+        Arc::clone(shared),
+        Arc::clone(shared),
+        Arc::clone(shared),
+        Arc::clone(shared),
+    );
     Probe {
         alive: Box::new(move || {
             let ticked = Time(live.ticked.load(Ordering::Acquire));
@@ -223,7 +275,10 @@
         ready: Box::new(move || ready.ready.load(Ordering::Acquire)),
         metrics: Box::new(move || metrics.metrics.render().unwrap_or_default()),
         burn: Box::new(move || {
-            burn.burn.lock().unwrap_or_else(PoisonError::into_inner).clone()
+            burn.burn
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .clone()
         }),
     }
 }
@@ -275,10 +330,14 @@
     /// Starts to join the fleet by the settings' seeds.
     fn join(&mut self) {
         let now = self.clock.now();
-        let seed = |address: &SocketAddr| Seed { vm: None, address: *address };
+        let seed = |address: &SocketAddr| Seed {
+            vm: None,
+            address: *address,
+        };
         let seeds = self.settings.peers.seeds.iter().map(seed).collect();
         let actions = self.membership.handle(now, membership::Event::Seeds(seeds));
         self.carry_out(now, actions);
+        self.place_pollers(now);
     }
 
     fn take(&mut self, input: Input) {
@@ -300,6 +359,8 @@
 }
 
 fn wall_clock_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
 }
--- a/chervildrift/src/serve/stop.rs
+++ b/chervildrift/src/serve/stop.rs
@@ -14,7 +14,9 @@
         let now = self.clock.now();
         info!(self.log, "leaving");
         self.stopping = true;
-        self.shared.ready.store(false, std::sync::atomic::Ordering::Release);
+        self.shared
+            .ready
+            .store(false, std::sync::atomic::Ordering::Release);
         self.placement.remove(&self.settings.vm.clone());
         let actions = self.membership.handle(now, membership::Event::Leave);
         self.carry_out(now, actions);
@@ -36,7 +38,11 @@
     }
 
     /// Answers a stop once all work has ended or the time for it is over.
-    pub(super) fn check_stop(&mut self, waited: Duration, reply: &mut Option<oneshot::Sender<bool>>) {
+    pub(super) fn check_stop(
+        &mut self,
+        waited: Duration,
+        reply: &mut Option<oneshot::Sender<bool>>,
+    ) {
         let drained = self.is_drained();
         let limit = Duration::from_millis(self.settings.stop.drain_ms);
         if drained || waited >= limit {
--- a/chervildrift/src/serve/task.rs
+++ b/chervildrift/src/serve/task.rs
@@ -98,7 +98,17 @@
 
 async fn begin(lease: Lease, record: Option<Record>, statements: &[Statement]) -> Ran {
     match open(&lease, record.as_ref()).await {
-        Ok(opened) => proceed(OpenTransaction { lease, opened, record }, statements).await,
+        Ok(opened) => {
+            proceed(
+                OpenTransaction {
+                    lease,
+                    opened,
+                    record,
+                },
+                statements,
+            )
+            .await
+        }
         Err(err) => Ran::Ended(Some(err)),
     }
 }
--- /dev/null
+++ b/chervildrift/src/try_out/lag.rs
@@ -0,0 +1,87 @@
+//! Listener that sets the replication lag of the embedded default.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::thread;
+
+use xitca_web::App;
+use xitca_web::handler::handler_service;
+use xitca_web::handler::params::Params;
+use xitca_web::handler::state::StateRef;
+use xitca_web::route::post;
+
+use crate::upstream::{Connection, Login};
+
+/// Upstreams whose lag is set.
+#[derive(Clone, Debug)]
+pub(super) struct SetLag {
+    addresses: Arc<Vec<SocketAddr>>,
+}
+
+/// A running listener.
+#[derive(derive_more::Debug)]
+pub(super) struct Handle {
+    address: SocketAddr,
+    #[debug("..")]
+    stop: Box<dyn Fn() + Send + Sync>,
+}
+
+impl Handle {
+    pub(super) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    pub(super) fn stop(&self) {
+        (self.stop)();
+    }
+}
+
+/// Returns what sets the lag of the upstreams.
+pub(super) fn setter(addresses: Vec<SocketAddr>) -> SetLag {
+    SetLag {
+        addresses: Arc::new(addresses),
+    }
+}
+
+/// Opens the listener on a free port.
+pub(super) fn bind(lag: SetLag) -> std::io::Result<Handle> {
+    let listener = TcpListener::bind(("127.0.0.1", 0))?;
+    let address = listener.local_addr()?;
+    let mut server = App::new()
+        .with_state(lag)
+        .at("/lag/{ms}", post(handler_service(set)))
+        .serve()
+        .worker_threads(1)
+        .disable_signal()
+        .listen(listener)?
+        .run();
+    let control = server.handle()?;
+    thread::spawn(move || server.wait());
+    Ok(Handle {
+        address,
+        stop: Box::new(move || control.stop(false)),
+    })
+}
+
+async fn set(StateRef(lag): StateRef<'_, SetLag>, Params(ms): Params<u32>) -> String {
+    for address in lag.addresses.iter() {
+        if let Err(err) = set_one(*address, ms).await {
+            return format!("{address}: {err}\n");
+        }
+    }
+    format!("replicas lag by {ms} ms\n")
+}
+
+async fn set_one(address: SocketAddr, ms: u32) -> Result<(), crate::upstream::Error> {
+    let login = Login {
+        user: chervildrift_standin::upstream::FAULT_USER.to_owned(),
+        password: None,
+        database: "chervildrift".to_owned(),
+    };
+    let connection = Connection::open(address, &login).await?;
+    let statement = crate::upstream::Statement {
+        sql: "SELECT chervildrift_fault('apply_lag_ms', $1)".to_owned(),
+        params: vec![ms.into()],
+    };
+    connection.run(&statement).await.map(drop)
+}
--- /dev/null
+++ b/chervildrift/src/try_out/mod.rs
@@ -0,0 +1,366 @@
+//! Embedded default for a first look: platform, one database group and two VMs in one process.
+
+mod lag;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervildrift_core::config::{
+    Bundle, Callers, Credential, Keys, Log, LogFormat, LogLevel, Operators, Peers, Settings, Stop,
+    UpstreamLogin, check,
+};
+use chervildrift_core::generation::Outcome;
+use chervildrift_core::rng::{Rng, mix};
+use chervildrift_standin::{platform as table, upstream as database};
+use clap::Args;
+use quick_error::quick_error;
+use sha2::{Digest, Sha256};
+use slog::o;
+use tokio::runtime::Builder;
+
+use crate::platform::{self, Platform};
+use crate::publish::publish;
+use crate::{logs, serve};
+
+/// Service that the embedded default declares.
+const SERVICE: &str = "demo";
+
+/// Replication lag at the start, in milliseconds.
+const LAG_MS: u64 = 20;
+
+/// Longest wait until both VMs are ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+quick_error! {
+    /// Why the embedded default could not run.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A stand-in of an upstream did not start.
+        Upstream(err: database::Error) {
+            display("stand-in upstream: {}", err)
+            source(err)
+            from()
+        }
+        /// The stand-in of the platform did not start.
+        Platform(err: table::Error) {
+            display("stand-in platform: {}", err)
+            source(err)
+            from()
+        }
+        /// The platform adapter can't be opened.
+        Adapter(err: platform::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// A VM did not start.
+        Start(err: serve::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The declaration is not valid.
+        Declaration(finding: chervildrift_core::config::Finding) {
+            display("embedded declaration: {}", finding)
+        }
+        /// The bundle can't be made.
+        Bundle(err: chervildrift_core::config::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The configuration was not published.
+        Unpublished(outcome: Outcome) {
+            display("publishing failed: {:?}", outcome)
+        }
+        /// The VMs did not become ready.
+        NotReady {
+            display("the VMs did not become ready within {READY_LIMIT:?}")
+        }
+        /// A listener, runtime or signal failed.
+        Io(err: std::io::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+    }
+}
+
+/// Options of `try`.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// Port of the first VM's callers' listener; the second one has the next port.
+    #[arg(long, default_value_t = 7801)]
+    port: u16,
+    /// Least severe level that is logged.
+    #[arg(long, default_value = "warning")]
+    log: String,
+}
+
+/// Parts of the embedded default; they stop when it is dropped.
+#[derive(Debug)]
+pub struct Embedded {
+    upstreams: Vec<database::Handle>,
+    platform: table::Handle,
+    vms: Vec<serve::Handle>,
+    credential: String,
+}
+
+/// Runs the embedded default until Ctrl-C.
+pub fn run(options: &Options) -> Result<(), Error> {
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(1)
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let embedded = Embedded::spawn(options.port, level(&options.log)).await?;
+        let lag = lag::bind(embedded.faults())?;
+        println!("{}", embedded.tour(lag.address()));
+        tokio::signal::ctrl_c().await?;
+        println!("stopping; requests in flight are answered first");
+        lag.stop();
+        embedded.stop().await;
+        Ok(())
+    })
+}
+
+fn level(text: &str) -> LogLevel {
+    match text {
+        "debug" => LogLevel::Debug,
+        "info" => LogLevel::Info,
+        "error" => LogLevel::Error,
+        _ => LogLevel::Warning,
+    }
+}
+
+impl Embedded {
+    /// Starts all parts and waits until both VMs take requests; port 0 takes free ports.
+    pub async fn spawn(port: u16, level: LogLevel) -> Result<Self, Error> {
+        let upstreams = spawn_group()?;
+        let platform = table::spawn(&table::Options::default())?;
+        let mut rng = Rng::open(mix(u64::from(std::process::id())) ^ wall_clock());
+        let credential = format!("{:016x}{:016x}", rng.next(), rng.next());
+        let keys = Keys {
+            fleet_hex: random_hex(&mut rng),
+            session_hex: random_hex(&mut rng),
+        };
+        publish_declaration(platform.address(), &upstreams).await?;
+        let mut vms: Vec<serve::Handle> = Vec::new();
+        for index in 0..2_u16 {
+            let seeds = vms.iter().map(serve::Handle::peers).collect();
+            let settings = settings(index, port, &platform, &credential, &keys, seeds);
+            let log = Log {
+                level,
+                format: LogFormat::Terminal,
+            };
+            let log = logs::open(log, settings.vm.as_str()).new(o!());
+            vms.push(serve::spawn(settings, None, log)?);
+        }
+        let embedded = Self {
+            upstreams,
+            platform,
+            vms,
+            credential,
+        };
+        embedded.await_ready().await?;
+        Ok(embedded)
+    }
+
+    /// Returns the addresses of the VMs' callers' listeners.
+    #[must_use]
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(serve::Handle::callers).collect()
+    }
+
+    /// Returns the addresses of the VMs' operators' listeners.
+    #[must_use]
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.vms.iter().map(serve::Handle::operators).collect()
+    }
+
+    /// Returns the upstreams.
+    #[must_use]
+    pub fn upstreams(&self) -> &[database::Handle] {
+        &self.upstreams
+    }
+
+    /// Returns the platform.
+    #[must_use]
+    pub const fn platform(&self) -> &table::Handle {
+        &self.platform
+    }
+
+    /// Returns the bearer credential of the demo caller.
+    #[must_use]
+    pub fn credential(&self) -> &str {
+        &self.credential
+    }
+
+    /// Stops the VMs gracefully, then the stand-ins; true when no request was cut.
+    pub async fn stop(self) -> bool {
+        let mut clean = true;
+        for vm in self.vms {
+            clean &= vm.stop().await;
+        }
+        for upstream in self.upstreams {
+            upstream.stop().await;
+        }
+        self.platform.stop().await;
+        clean
+    }
+
+    fn faults(&self) -> lag::SetLag {
+        let addresses: Vec<SocketAddr> = self.upstreams.iter().map(|it| it.address()).collect();
+        lag::setter(addresses)
+    }
+
+    async fn await_ready(&self) -> Result<(), Error> {
+        let end = tokio::time::Instant::now() + READY_LIMIT;
+        for address in self.operators() {
+            loop {
+                let answer = reqwest::get(format!("http://{address}/ready")).await;
+                if answer.is_ok_and(|it| it.status().is_success()) {
+                    break;
+                }
+                if tokio::time::Instant::now() > end {
+                    return Err(Error::NotReady);
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+
+    fn tour(&self, lag: SocketAddr) -> String {
+        let callers = self.callers();
+        let operators = self.operators();
+        let curl = format!(
+            "curl -s -b session.txt -c session.txt -H 'Authorization: Bearer {}'",
+            self.credential
+        );
+        let [first, second] = [callers[0], callers[1]];
+        format!(
+            "Two VMs serve the service `{SERVICE}`; Ctrl-C stops them gracefully.\n\n\
+             # make a table, then write a row through the first VM\n\
+             {curl} http://{first}/v1/{SERVICE}/save -d '{{\"key\":\"a\",\"statements\":[\
+             {{\"sql\":\"create table note (id text primary key, body text)\"}}]}}'\n\
+             {curl} http://{first}/v1/{SERVICE}/save -d '{{\"key\":\"a\",\"statements\":[\
+             {{\"sql\":\"insert into note values ($1, $2)\",\"params\":[\"n1\",\"hello\"]}}]}}'\n\n\
+             # read it through the second VM; the session is in session.txt\n\
+             {curl} http://{second}/v1/{SERVICE}/list -d '{{\"key\":\"a\",\"statements\":[\
+             {{\"sql\":\"select id, body from note\"}}]}}'\n\n\
+             # make the replicas lag by a minute, then write and read again\n\
+             curl -s -X POST http://{lag}/lag/60000\n\
+             {curl} http://{first}/v1/{SERVICE}/save -d '{{\"key\":\"a\",\"statements\":[\
+             {{\"sql\":\"insert into note values ($1, $2)\",\"params\":[\"n2\",\"again\"]}}]}}'\n\
+             {curl} http://{second}/v1/{SERVICE}/list -d '{{\"key\":\"a\",\"statements\":[\
+             {{\"sql\":\"select id, body from note\"}}]}}'\n\n\
+             # metrics and service-level burn\n\
+             curl -s http://{}/metrics\n\
+             chervildrift report burn --operators {}\n",
+            operators[0], operators[0]
+        )
+    }
+}
+
+fn spawn_group() -> Result<Vec<database::Handle>, Error> {
+    let lag = Duration::from_millis(LAG_MS);
+    let primary = database::spawn(database::Options::default())?;
+    let address = primary.address();
+    let mut upstreams = vec![primary];
+    for _ in 0..2 {
+        let options = database::Options {
+            apply_lag: lag,
+            ..database::Options::replica(address)
+        };
+        upstreams.push(database::spawn(options)?);
+    }
+    Ok(upstreams)
+}
+
+fn declaration(upstreams: &[database::Handle]) -> String {
+    let line = |(index, it): (usize, &database::Handle)| {
+        format!(
+            "      - {{name: demo-{index}, address: \"{}\", zone: local, slots: 5, \
+             connections: 30}}\n",
+            it.address()
+        )
+    };
+    let upstreams: String = upstreams.iter().enumerate().map(line).collect();
+    format!(
+        "service: {SERVICE}\ninstances:\n  - name: demo\n    upstreams:\n{upstreams}kinds:\n  \
+         - {{name: save, rank: urgent, access: write, deadline_ms: 5000, \
+         objective: {{target_percent: 99.9, within_ms: 500}}}}\n  \
+         - {{name: look, rank: routine, access: read, deadline_ms: 5000}}\n  \
+         - {{name: list, rank: bulk, access: read, deadline_ms: 5000, max_age_ms: 120000, \
+         objective: {{target_percent: 99, within_ms: 1000}}}}\n"
+    )
+}
+
+async fn publish_declaration(
+    platform: SocketAddr,
+    upstreams: &[database::Handle],
+) -> Result<(), Error> {
+    let declaration = check(&declaration(upstreams))
+        .map_err(|mut findings| Error::Declaration(findings.remove(0)))?;
+    let body = Bundle::collect([declaration])?.encode()?;
+    let platform = Platform::open(platform, platform::Limits::default())?;
+    match publish(&platform, "try", None, &body).await {
+        Outcome::Published { .. } => Ok(()),
+        other => Err(Error::Unpublished(other)),
+    }
+}
+
+fn settings(
+    index: u16,
+    port: u16,
+    platform: &table::Handle,
+    credential: &str,
+    keys: &Keys,
+    seeds: Vec<SocketAddr>,
+) -> Settings {
+    let loopback = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let callers = if port == 0 { 0 } else { port + index };
+    Settings {
+        vm: format!("vm-{}", index + 1).into(),
+        zone: "local".into(),
+        callers: Callers {
+            listen: loopback(callers),
+            threads: 2,
+            connections: 1_000,
+            receive_ms: 5_000,
+            idle_ms: 60_000,
+        },
+        operators: Operators {
+            listen: loopback(0),
+        },
+        peers: Peers {
+            listen: loopback(0),
+            seeds,
+        },
+        platform: chervildrift_core::config::Platform {
+            address: platform.address(),
+        },
+        keys: keys.clone(),
+        credentials: vec![Credential {
+            caller: "demo-caller".into(),
+            service: SERVICE.into(),
+            sha256_hex: hex::encode(Sha256::digest(credential)),
+        }],
+        upstreams: UpstreamLogin::default(),
+        log: Log::default(),
+        stop: Stop {
+            ready_ms: 50,
+            drain_ms: 5_000,
+        },
+    }
+}
+
+fn random_hex(rng: &mut Rng) -> String {
+    (0..4).map(|_| format!("{:016x}", rng.next())).collect()
+}
+
+fn wall_clock() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.unwrap_or_default().as_nanos() as u64
+}
--- a/chervildrift/src/upstream/sql.rs
+++ b/chervildrift/src/upstream/sql.rs
@@ -1,15 +1,16 @@
 //! Statements that the adapter sends on its own behalf.
 
-pub(super) const STATUS: &str = "SELECT role, fenced, received_term, received_position, \
-     applied_term, applied_position, heard_ms FROM chervildrift_status()";
+/// Columns: role, fenced, received term and position, applied term and position, `heard_ms`.
+pub(super) const STATUS: &str = "SELECT * FROM chervildrift_status()";
 
-pub(super) const FENCE: &str = "SELECT granted, fenced, received_term, received_position \
-     FROM chervildrift_fence($1, $2)";
+/// Columns: granted, fenced, received term and position.
+pub(super) const FENCE: &str = "SELECT * FROM chervildrift_fence($1, $2)";
 
-pub(super) const PROMOTE: &str = "SELECT granted, fenced, received_term, received_position \
-     FROM chervildrift_promote($1, $2)";
+/// Columns: granted, fenced, received term and position.
+pub(super) const PROMOTE: &str = "SELECT * FROM chervildrift_promote($1, $2)";
 
-pub(super) const FOLLOW: &str = "SELECT chervildrift_follow($1, $2)";
+/// Columns: granted, fenced, received term and position.
+pub(super) const FOLLOW: &str = "SELECT * FROM chervildrift_follow($1, $2)";
 
 pub(super) const BEGIN: &str = "BEGIN";
 
--- a/chervildrift/src/upstream/write.rs
+++ b/chervildrift/src/upstream/write.rs
@@ -156,7 +156,10 @@
 
 fn cancelled(settled: Settled) -> Settled {
     match settled {
-        Settled::Written(written) => Settled::Written(Written { cancelled: true, ..written }),
+        Settled::Written(written) => Settled::Written(Written {
+            cancelled: true,
+            ..written
+        }),
         other => other,
     }
 }
@@ -167,7 +170,7 @@
         Settled::Written(Written {
             mark: now.received,
             answer,
-            repeated,
+            cancelled,
         })
     } else {
         Settled::Unknown(Error::NotPrimary)
--- /dev/null
+++ b/chervildrift/tests/bad_input.rs
@@ -0,0 +1,160 @@
+//! Bad input at the callers' listener.
+
+mod support;
+
+use std::time::Duration;
+
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use support::{Session, embedded};
+
+/// Guards against bad input that is answered without a clear error, or that runs.
+#[tokio::test]
+async fn clear_errors() {
+    let embedded = embedded().await;
+    let vm = embedded.callers()[0];
+    let mut session = Session::open(embedded.credential());
+    let good = r#"{"key":"a","statements":[{"sql":"select 1"}]}"#;
+    let large = format!(r#"{{"key":"{}"}}"#, "x".repeat(300_000));
+    let cases = [
+        ("/v1/demo/look", "{", 400, "malformed-request"),
+        (
+            "/v1/demo/look",
+            r#"{"key":"a","stmts":[]}"#,
+            400,
+            "malformed-request",
+        ),
+        (
+            "/v1/demo/look",
+            r#"{"key":"","statements":[{"sql":"select 1"}]}"#,
+            400,
+            "malformed-request",
+        ),
+        ("/v1/demo/nothing", good, 404, "unknown-kind"),
+        ("/v1/other/look", good, 403, "forbidden"),
+        ("/v2/demo/look", good, 404, "not-found"),
+        ("/v1/demo/look", large.as_str(), 413, "body-too-large"),
+        (
+            "/v1/demo/save",
+            r#"{"key":"a","statements":[{"sql":"commit"}]}"#,
+            400,
+            "statement-not-allowed",
+        ),
+        (
+            "/v1/demo/save",
+            r#"{"key":"a","statements":[{"sql":" /* */ SET x = 1"}]}"#,
+            400,
+            "statement-not-allowed",
+        ),
+        (
+            "/v1/demo/save",
+            r#"{"key":"a","statements":[{"sql":"select chervildrift_promote(9, 'x')"}]}"#,
+            400,
+            "statement-not-allowed",
+        ),
+        (
+            "/v1/transactions/none/commit",
+            "",
+            404,
+            "unknown-transaction",
+        ),
+    ];
+    for (path, body, status, problem) in cases {
+        let reply = session.post(vm, path, body).await;
+        assert_eq!(
+            (reply.status, reply.problem()),
+            (status, problem),
+            "{path} {:?}",
+            reply.body
+        );
+        assert_eq!(reply.state(), "not_run", "{path}");
+    }
+    let failed = session
+        .run(vm, "save", "insert into nothing values (1)", json!([]))
+        .await;
+    assert_eq!(
+        (failed.status, failed.state()),
+        (422, "failed"),
+        "{:?}",
+        failed.body
+    );
+}
+
+/// Guards against a credential or session that is not checked.
+#[tokio::test]
+async fn forged_tokens() {
+    let embedded = embedded().await;
+    let vm = embedded.callers()[0];
+    let reply = Session::open("wrong")
+        .run(vm, "look", "select 1", json!([]))
+        .await;
+    assert_eq!((reply.status, reply.problem()), (401, "unauthorized"));
+    let mut session = Session::open(embedded.credential());
+    session
+        .run(vm, "save", "create table note (id text)", json!([]))
+        .await;
+    let token = session.token.clone().expect("a write gives a token");
+    let flip = if token.ends_with('A') { 'B' } else { 'A' };
+    session.token = Some(format!("{}{flip}", &token[..token.len() - 1]));
+    let reply = session.run(vm, "look", "select 1", json!([])).await;
+    assert_eq!(
+        (reply.status, reply.problem()),
+        (400, "invalid-session"),
+        "{:?}",
+        reply.body
+    );
+}
+
+/// Guards against a read kind that changes data.
+#[tokio::test]
+async fn writing_reads() {
+    let embedded = embedded().await;
+    let vm = embedded.callers()[0];
+    let mut session = Session::open(embedded.credential());
+    session
+        .run(vm, "save", "create table note (id text)", json!([]))
+        .await;
+    for kind in ["look", "list"] {
+        let reply = session
+            .run(vm, kind, "insert into note values ('x')", json!([]))
+            .await;
+        assert_eq!(
+            (reply.status, reply.state()),
+            (422, "failed"),
+            "{kind}: {:?}",
+            reply.body
+        );
+    }
+    let read = session
+        .run(vm, "look", "select count(*) from note", json!([]))
+        .await;
+    assert_eq!(read.body["results"][0]["rows"][0][0], json!(0));
+}
+
+/// Guards against slow senders and idle connections that keep other callers from being served.
+#[tokio::test]
+async fn slow_senders() {
+    let embedded = embedded().await;
+    let vm = embedded.callers()[0];
+    let mut slow = Vec::new();
+    for _ in 0..100 {
+        let mut stream = TcpStream::connect(vm).await.expect("connects");
+        stream
+            .write_all(b"POST /v1/demo/look HTTP/1.1\r\nhost: x\r\n")
+            .await
+            .expect("writes");
+        slow.push(stream);
+    }
+    let mut session = Session::open(embedded.credential());
+    let served = session.run(vm, "look", "select 1", json!([])).await;
+    assert_eq!(served.status, 200, "{:?}", served.body);
+    let mut rest = Vec::new();
+    let closed = slow[0].read_to_end(&mut rest);
+    let closed = tokio::time::timeout(Duration::from_secs(10), closed).await;
+    assert!(
+        closed.is_ok(),
+        "a connection that never sends its head stays open"
+    );
+}
--- a/chervildrift/tests/support/mod.rs
+++ b/chervildrift/tests/support/mod.rs
@@ -1,113 +1,93 @@
-//! Peer links for tests.
+//! Helpers of the tests: the embedded default and a caller of it.
 
-#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
 
-use chervildrift::peer::message::{Access, Idempotency, Pong, Statement};
-use chervildrift::peer::{self, FleetKey, Handle, Inbound, Limits, Options, Reply, Request, State};
-use chervildrift_core::types::{Mark, Rank, Vm};
-use tokio::sync::{mpsc, oneshot};
+use chervildrift::try_out::Embedded;
+use chervildrift_core::config::LogLevel;
+use serde_json::{Value, json};
 
-pub const KEY: &[u8] = b"a fleet key for tests";
-
-pub fn address() -> SocketAddr {
-    SocketAddr::from(([127, 0, 0, 1], 0))
+/// A caller that keeps its session.
+#[derive(Debug)]
+pub struct Session {
+    client: reqwest::Client,
+    credential: String,
+    pub token: Option<String>,
 }
 
-pub fn options(name: &str, key: &[u8]) -> Options {
-    Options {
-        address: address(),
-        name: Vm::from(name),
-        key: FleetKey::open(key).unwrap(),
-        limits: Limits::default(),
-    }
+/// Answer of a VM.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Value,
 }
 
-/// Binds links whose calls the test answers itself.
-pub fn bind(options: Options) -> (Handle, mpsc::Receiver<Inbound>) {
-    let (sender, inbound) = mpsc::channel(1024);
-    (peer::bind(options, sender).unwrap(), inbound)
-}
+impl Reply {
+    /// Returns what became of a request without results.
+    pub fn state(&self) -> &str {
+        self.body["state"].as_str().unwrap_or_default()
+    }
 
-/// Binds links that answer every call.
-pub fn serve(name: &str) -> Handle {
-    let (handle, mut inbound) = bind(options(name, KEY));
-    tokio::spawn(async move {
-        while let Some(call) = inbound.recv().await {
-            answer(call);
-        }
-    });
-    handle
+    /// Returns the last part of the problem's type.
+    pub fn problem(&self) -> &str {
+        let kind = self.body["type"].as_str().unwrap_or_default();
+        kind.rsplit(':').next().unwrap_or_default()
+    }
 }
 
-/// Binds links that make calls only.
-pub fn caller() -> Handle {
-    bind(options("caller", KEY)).0
+/// Starts the embedded default on free ports.
+pub async fn embedded() -> Embedded {
+    Embedded::spawn(0, LogLevel::Error)
+        .await
+        .expect("the embedded default starts")
 }
 
-/// Waits for a forwarded request and answers other calls, such as pings.
-pub async fn forwarded(inbound: &mut mpsc::Receiver<Inbound>) -> (Request, oneshot::Sender<Reply>) {
-    loop {
-        match inbound.recv().await.unwrap() {
-            Inbound::Forward { request, reply } => return (request, reply),
-            other => answer(other),
+impl Session {
+    pub fn open(credential: &str) -> Self {
+        let client = reqwest::Client::new();
+        Self {
+            client,
+            credential: credential.to_owned(),
+            token: None,
         }
     }
-}
 
-pub fn answer(call: Inbound) {
-    match call {
-        Inbound::Forward { request, reply } | Inbound::Transaction { request, reply, .. } => {
-            let _ = reply.send(done(&request));
-        }
-        Inbound::GroupState { reply, .. } => drop(reply.send(None)),
-        Inbound::Bundle { hash, reply } => drop(reply.send(Some(hash.into_bytes()))),
-        Inbound::BurnDelta { reply, .. } => drop(reply.send(())),
-        Inbound::Handover { reply, .. } => drop(reply.send(true)),
-        Inbound::Ping { reply } => drop(reply.send(Pong::default())),
-        Inbound::LinkFailed { .. } => {}
+    /// Sends a body to a path and keeps the session of the answer.
+    pub async fn post(&mut self, vm: SocketAddr, path: &str, body: impl Into<String>) -> Reply {
+        let request = self
+            .client
+            .post(format!("http://{vm}{path}"))
+            .body(body.into());
+        self.send(request).await
     }
-}
 
-pub fn done(request: &Request) -> Reply {
-    Reply {
-        state: State::Done,
-        answer: request.key.clone().into_bytes(),
-        mark: request.token,
-        group: None,
-        load: [1, 2, 3],
-        generation: request.generation,
+    pub async fn get(&mut self, vm: SocketAddr, path: &str) -> Reply {
+        let request = self.client.get(format!("http://{vm}{path}"));
+        self.send(request).await
     }
-}
 
-pub fn request(key: &str) -> Request {
-    Request {
-        id: 7,
-        service: "ring-ledger".into(),
-        kind: "confirm".into(),
-        key: key.into(),
-        caller: "farm-1".into(),
-        rank: Rank::Routine,
-        upstream: "ring-1-a".into(),
-        statements: vec![Statement {
-            sql: "SELECT $1".into(),
-            params: "[1]".into(),
-        }],
-        token: Some(Mark::new(2, 9)),
-        age_bound: Some(Duration::from_millis(250)),
-        remaining: Duration::ZERO,
-        idempotency: Some(Idempotency {
-            key: "once".into(),
-            digest: "d".into(),
-        }),
-        access: Access::Write,
-        transaction: Some("vm-1/4".into()),
-        generation: 12,
+    async fn send(&mut self, request: reqwest::RequestBuilder) -> Reply {
+        let mut request = request.bearer_auth(&self.credential);
+        if let Some(token) = &self.token {
+            request = request.header("chervildrift-session", token);
+        }
+        let response = request.send().await.expect("the VM answers");
+        let status = response.status().as_u16();
+        let token = response.headers().get("chervildrift-session");
+        if let Some(token) = token.and_then(|it| it.to_str().ok()) {
+            self.token = Some(token.to_owned());
+        }
+        Reply {
+            status,
+            body: response.json().await.unwrap_or_default(),
+        }
     }
-}
 
-pub fn within(ms: u64) -> Instant {
-    Instant::now() + Duration::from_millis(ms)
+    /// Runs one statement as work of `kind`.
+    pub async fn run(&mut self, vm: SocketAddr, kind: &str, sql: &str, params: Value) -> Reply {
+        let body = json!({ "key": "a", "statements": [{ "sql": sql, "params": params }] });
+        self.post(vm, &format!("/v1/demo/{kind}"), body.to_string())
+            .await
+    }
 }
--- /dev/null
+++ b/chervildrift/tests/whole_path.rs
@@ -0,0 +1,107 @@
+//! One request from a caller to an upstream and back, through two VMs.
+
+mod support;
+
+use chervildrift_standin::upstream::Fault;
+use serde_json::json;
+
+use support::{Session, embedded};
+
+/// Guards against a read that misses the session's own write, through another VM and with
+/// replicas a minute behind.
+#[tokio::test]
+async fn own_writes() {
+    let embedded = embedded().await;
+    let [first, second] = [embedded.callers()[0], embedded.callers()[1]];
+    let mut session = Session::open(embedded.credential());
+    let created = session
+        .run(first, "save", "create table note (id text)", json!([]))
+        .await;
+    assert_eq!(created.status, 200, "{:?}", created.body);
+    for upstream in &embedded.upstreams()[1..] {
+        upstream.fault(Fault::ApplyLagMs, 60_000);
+    }
+    for count in 1..=5 {
+        let sql = "insert into note values ($1)";
+        let written = session
+            .run(first, "save", sql, json!([format!("n{count}")]))
+            .await;
+        assert_eq!(written.status, 200, "{:?}", written.body);
+        let read = session
+            .run(second, "list", "select count(*) from note", json!([]))
+            .await;
+        assert_eq!(
+            read.body["results"][0]["rows"][0][0],
+            json!(count),
+            "{:?}",
+            read.body
+        );
+    }
+    assert!(embedded.stop().await, "the stop cut a request");
+}
+
+/// Guards against a repeat that runs a write again.
+#[tokio::test]
+async fn repeated_key() {
+    let embedded = embedded().await;
+    let [first, second] = [embedded.callers()[0], embedded.callers()[1]];
+    let mut session = Session::open(embedded.credential());
+    session
+        .run(
+            first,
+            "save",
+            "create table deposit (amount integer)",
+            json!([]),
+        )
+        .await;
+    let body = |amount: u32| {
+        json!({
+            "key": "a", "idempotency_key": "deposit-1",
+            "statements": [{ "sql": "insert into deposit values ($1)", "params": [amount] }],
+        })
+        .to_string()
+    };
+    for vm in [first, second, first] {
+        let reply = session.post(vm, "/v1/demo/save", body(10)).await;
+        assert_eq!(reply.status, 200, "{:?}", reply.body);
+    }
+    let other = session.post(second, "/v1/demo/save", body(11)).await;
+    assert_eq!((other.status, other.problem()), (409, "key-reused"));
+    let read = session
+        .run(second, "look", "select count(*) from deposit", json!([]))
+        .await;
+    assert_eq!(read.body["results"][0]["rows"][0][0], json!(1));
+}
+
+/// Guards against a request that runs after its caller was told that it did not.
+#[tokio::test]
+async fn settled_outcome() {
+    let embedded = embedded().await;
+    let [first, second] = [embedded.callers()[0], embedded.callers()[1]];
+    let mut session = Session::open(embedded.credential());
+    session
+        .run(first, "save", "create table note (id text)", json!([]))
+        .await;
+    let asked = session.get(second, "/v1/outcomes/demo/a/late-1").await;
+    assert_eq!(
+        (asked.state(), asked.problem()),
+        ("not_run", "cancelled"),
+        "{:?}",
+        asked.body
+    );
+    let body = json!({
+        "key": "a", "idempotency_key": "late-1",
+        "statements": [{ "sql": "insert into note values ('late')" }],
+    });
+    let late = session.post(first, "/v1/demo/save", body.to_string()).await;
+    assert_eq!(
+        (late.state(), late.problem()),
+        ("not_run", "cancelled"),
+        "{:?}",
+        late.body
+    );
+    let read = session
+        .run(first, "look", "select count(*) from note", json!([]))
+        .await;
+    assert_eq!(read.body["results"][0]["rows"][0][0], json!(0));
+}
--- a/chervildrift_standin/src/upstream/error.rs
+++ b/chervildrift_standin/src/upstream/error.rs
@@ -68,6 +68,12 @@
         Self::new(code::READ_ONLY_TRANSACTION, message)
     }
 
+    /// Reports a statement that writes in a transaction opened for reading only.
+    pub fn read_only_transaction() -> Self {
+        let message = "cannot execute a write in a read-only transaction";
+        Self::new(code::READ_ONLY_TRANSACTION, message)
+    }
+
     /// Reports a statement inside a transaction that has already failed.
     pub fn failed_transaction() -> Self {
         let message = "current transaction is aborted, commands ignored until end of transaction";
--- a/chervildrift_standin/src/upstream/session.rs
+++ b/chervildrift_standin/src/upstream/session.rs
@@ -43,6 +43,8 @@
     epoch: u64,
     /// Whether a statement has failed, so that only the end is taken.
     failed: bool,
+    /// Whether the transaction was opened for reading only.
+    read_only: bool,
     /// Whether the transaction has become the one writer.
     writer: bool,
     /// Statement time that is charged after the end.
@@ -136,6 +138,7 @@
             *transaction = Some(Transaction {
                 epoch,
                 failed: false,
+                read_only: false,
                 writer: false,
                 owed: Duration::ZERO,
             });
@@ -182,8 +185,11 @@
 
     async fn dispatch(&self, command: &Command, params: &[Value]) -> Result<Reply, SqlError> {
         match &command.action {
-            Action::Begin => {
+            Action::Begin { read_only } => {
                 self.begin();
+                if let (true, Some(open)) = (*read_only, &mut *self.transaction()) {
+                    open.read_only = true;
+                }
                 Ok(Reply::Started(command.tag))
             }
             Action::Commit => self.commit().await,
@@ -201,6 +207,7 @@
     async fn query(&self, command: &Command, params: &[Value]) -> Result<Reply, SqlError> {
         let writes = self.shared.node().writes(self.id, command)?;
         if writes {
+            self.check_read_only()?;
             self.shared.node().check_writable()?;
         }
         self.charge().await;
@@ -214,6 +221,18 @@
         Ok(reply(command, outcome))
     }
 
+    fn check_read_only(&self) -> Result<(), SqlError> {
+        let read_only = self
+            .transaction()
+            .as_ref()
+            .is_some_and(|open| open.read_only);
+        if read_only {
+            Err(SqlError::read_only_transaction())
+        } else {
+            Ok(())
+        }
+    }
+
     /// Runs a write as a transaction of its own.
     async fn write_alone(&self, command: &Command, params: &[Value]) -> Result<Outcome, SqlError> {
         let permit = self.shared.writer().await?;
--- a/chervildrift_standin/src/upstream/sql.rs
+++ b/chervildrift_standin/src/upstream/sql.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug)]
 pub(super) enum Action {
     /// Starts a transaction.
-    Begin,
+    Begin { read_only: bool },
     /// Ends a transaction and keeps its changes.
     Commit,
     /// Ends a transaction and drops its changes.
@@ -74,7 +74,9 @@
     let word = first.text.to_ascii_lowercase();
     let to_savepoint = found.iter().any(|token| token.is("to"));
     let action = match word.as_str() {
-        "begin" | "start" => Action::Begin,
+        "begin" | "start" => Action::Begin {
+            read_only: found.iter().any(|token| token.is("only")),
+        },
         "commit" | "end" => Action::Commit,
         "rollback" | "abort" if !to_savepoint => Action::Rollback,
         "rollback" => Action::Savepoint { back: true },
