--- a/chervildrift_core/src/membership/apply.rs
+++ b/chervildrift_core/src/membership/apply.rs
@@ -4,6 +4,7 @@
 
 use super::message::{Change, Incarnation, Message, Place, State};
 use super::queue::Scope;
+use super::table::Record;
 use super::{Action, Body, Membership};
 use crate::types::{Time, Vm};
 
@@ -139,6 +140,12 @@
         self.remind(now, vm);
     }
 
+    /// Takes back a suspicion that was told to no one.
+    pub(super) fn withdraw(&mut self, vm: &Vm) {
+        self.table.clear(vm);
+        self.report(vm);
+    }
+
     /// Declares a suspected VM failed.
     pub(super) fn fail(&mut self, now: Time, vm: &Vm, incarnation: Incarnation) {
         let change = Change {
@@ -200,6 +207,22 @@
         }
     }
 
+    /// Tells an old process that a newer one with its name has joined.
+    pub(super) fn turn_away(&mut self, from: SocketAddr, message: &Message) -> bool {
+        let record = self.table.get(&message.from);
+        let newer = |record: &&Record| record.incarnation.boot > message.incarnation.boot;
+        let Some(record) = record.filter(newer) else {
+            return false;
+        };
+        let mut reply = self.bare(Body::Gossip);
+        reply.changes.push(self.table.change(record));
+        self.out.push(Action::Send {
+            to: from,
+            message: reply,
+        });
+        true
+    }
+
     /// Takes what the header of a message shows of its sender.
     pub(super) fn greet(&mut self, now: Time, from: SocketAddr, message: &Message) {
         let Some(record) = self.table.get(&message.from) else {
@@ -228,7 +251,7 @@
             self.apply(now, &change, Origin::Own);
             return;
         }
-        let outdated = theirs.boot < known.boot || (theirs <= known && doubted);
+        let outdated = theirs <= known && doubted;
         let answered = matches!(message.body, Body::Ping { .. } | Body::Sync { .. });
         if outdated && !answered {
             self.send(Some(&message.from), from, Body::Gossip);
--- a/chervildrift_core/src/membership/mod.rs
+++ b/chervildrift_core/src/membership/mod.rs
@@ -20,7 +20,7 @@
 mod sync;
 mod table;
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use smallvec::SmallVec;
@@ -56,12 +56,13 @@
     table: Table,
     queue: Queue,
     out: Actions,
-    seeds: HashMap<SocketAddr, Option<Vm>>,
+    seeds: BTreeMap<SocketAddr, u8>,
     probes: SmallVec<[Probe; 4]>,
     relays: Vec<Relay>,
     suspicions: Vec<Suspicion>,
     sequence: u32,
     step: usize,
+    far_turn: usize,
     opened: Option<Time>,
     ticked: Time,
     next: Due,
@@ -89,6 +90,7 @@
     pub fn open(me: Me, rng: Rng, limits: Limits) -> Self {
         let mut table = Table::open();
         let zone = table.zone_index(&me.place.zone);
+        let far_turn = digest(me.vm.as_str()) as u32 as usize;
         Self {
             hash: digest(me.vm.as_str()),
             zone,
@@ -105,12 +107,13 @@
             table,
             queue: Queue::default(),
             out: Actions::new(),
-            seeds: HashMap::new(),
+            seeds: BTreeMap::new(),
             probes: SmallVec::new(),
             relays: Vec::new(),
             suspicions: Vec::new(),
             sequence: 0,
             step: 0,
+            far_turn,
             opened: None,
             ticked: Time::default(),
             next: Due::default(),
@@ -196,7 +199,7 @@
     #[must_use]
     pub fn bytes(&self) -> usize {
         let queue = self.queue.len() * size_of::<queue::Due>();
-        let seeds = self.seeds.capacity() * size_of::<(SocketAddr, Option<Vm>)>();
+        let seeds = self.seeds.len() * size_of::<(SocketAddr, u8)>();
         size_of::<Self>() + self.table.bytes() + queue + seeds
     }
 
@@ -215,6 +218,9 @@
             self.meet_namesake(from, &message);
             return;
         }
+        if self.turn_away(from, &message) {
+            return;
+        }
         self.seeds.remove(&from);
         self.greet(now, from, &message);
         self.hear(&message);
--- a/chervildrift_core/src/membership/probe.rs
+++ b/chervildrift_core/src/membership/probe.rs
@@ -35,7 +35,14 @@
     pub vm: Vm,
     pub incarnation: Incarnation,
     pub until: Time,
-    pub remind: Option<Time>,
+    pub own: Option<Raised>,
+}
+
+/// A suspicion's part that only the VM that raised it has.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Raised {
+    first: u32,
+    remind_at: Time,
 }
 
 impl Membership {
@@ -74,8 +81,11 @@
         }
     }
 
+    /// Probes the next VM of the round over the other availability zones. Each VM starts at
+    /// another place, so that together they soon cover all.
     fn probe_far(&mut self, now: Time) {
-        let far = self.table.random_far(self.zone, &mut self.rng);
+        self.far_turn = self.far_turn.wrapping_add(1);
+        let far = self.table.far_at(self.zone, self.far_turn);
         if let Some(vm) = far.cloned() {
             self.probe(now, &vm);
         }
@@ -111,7 +121,7 @@
         for probe in &mut waiting {
             if !probe.indirect && now >= probe.relay_at {
                 probe.indirect = true;
-                self.probe_again(probe);
+                self.probe_again(&probe.vm, probe.sequence);
             }
         }
         let failed = |probe: &&Probe| now >= probe.fail_at;
@@ -127,41 +137,39 @@
         }
     }
 
-    /// Probes a VM a second time and through helpers.
-    fn probe_again(&mut self, probe: &Probe) {
-        let Some(record) = self.table.get(&probe.vm) else {
+    /// Probes a VM directly and through helpers.
+    fn probe_again(&mut self, vm: &Vm, sequence: u32) {
+        let Some(record) = self.table.get(vm) else {
             return;
         };
         let (address, zone) = (record.address, record.zone);
-        let sequence = probe.sequence;
-        self.send(Some(&probe.vm), address, Body::Ping { sequence });
+        self.send(Some(vm), address, Body::Ping { sequence });
         for turn in 0..self.limits.helpers {
             let helper = self.helper(zone, turn);
-            let Some(helper) = helper.filter(|helper| *helper != probe.vm) else {
+            let Some(helper) = helper.filter(|helper| helper != vm) else {
                 continue;
             };
             let body = Body::Relay {
                 sequence,
-                vm: probe.vm.clone(),
+                vm: vm.clone(),
                 address,
             };
             self.send_to(&helper, body);
         }
     }
 
-    /// Returns a random VM to probe a VM of `zone` through. Helpers for another availability zone
-    /// are taken there, here and anywhere in turn, since only two of them may be cut off.
+    /// Returns a random VM to probe a VM of `zone` through. For another availability zone most
+    /// helpers are in third ones, since only the link between the two may be cut.
     fn helper(&mut self, zone: u16, turn: usize) -> Option<Vm> {
-        let near = zone == self.zone && self.table.ring(zone).len() > 1;
-        let helper = match turn % 3 {
-            _ if near => self.table.random(zone, &mut self.rng),
-            0 => self.table.random(zone, &mut self.rng),
-            1 if !self.table.ring(self.zone).is_empty() => {
-                self.table.random(self.zone, &mut self.rng)
-            }
-            _ => self.table.random_far(self.zone, &mut self.rng),
-        };
-        helper.cloned()
+        let inside = zone == self.zone && self.table.ring(zone).len() > 1;
+        if inside || turn % 3 == 1 {
+            return self.table.random(zone, &mut self.rng).cloned();
+        }
+        let third = self.table.random_third(self.zone, zone, &mut self.rng);
+        if let Some(vm) = third {
+            return Some(vm.clone());
+        }
+        self.table.random(self.zone, &mut self.rng).cloned()
     }
 
     /// Answers a ping.
@@ -171,8 +179,7 @@
 
     /// Takes the answer of a VM to a ping of this VM, and reports it when it was for another.
     pub(super) fn acknowledge(&mut self, sender: &Vm, sequence: u32) {
-        self.probes
-            .retain(|probe| probe.sequence != sequence || probe.vm != *sender);
+        self.settle_probe(sender, sequence);
         let found = self
             .relays
             .iter()
@@ -213,8 +220,26 @@
 
     /// Takes the report that a VM answered a helper.
     pub(super) fn relayed(&mut self, sequence: u32, vm: &Vm) {
+        self.settle_probe(vm, sequence);
+    }
+
+    /// Ends the probe that was answered. A suspicion of a VM in another availability zone is
+    /// withdrawn too: it was told to no one, and the VM itself may be out of reach for refuting.
+    fn settle_probe(&mut self, vm: &Vm, sequence: u32) {
         self.probes
             .retain(|probe| probe.sequence != sequence || probe.vm != *vm);
+        let answers = |one: &Suspicion| {
+            let later = |raised: Raised| sequence.wrapping_sub(raised.first) <= u32::MAX / 2;
+            one.vm == *vm && one.own.is_some_and(later)
+        };
+        let far = self
+            .table
+            .get(vm)
+            .is_some_and(|record| record.zone != self.zone);
+        if far && self.suspicions.iter().any(answers) {
+            self.suspicions.retain(|one| one.vm != *vm);
+            self.withdraw(vm);
+        }
     }
 
     /// Takes what a peer link showed. A VM that does not answer there is probed again at once and
@@ -240,7 +265,7 @@
             relay_at: now,
             fail_at: now + wait,
         };
-        self.probe_again(&probe);
+        self.probe_again(vm, probe.sequence);
         self.probes.push(probe);
     }
 
@@ -256,28 +281,29 @@
             vm: change.vm.clone(),
             incarnation: change.incarnation,
             until: now + wait,
-            remind: None,
+            own: None,
         });
     }
 
-    /// Tells a VM that it is suspected, now and until it refutes.
+    /// Probes a suspected VM again, which also tells it to refute.
     pub(super) fn remind(&mut self, now: Time, vm: &Vm) {
         let Some(record) = self.table.get(vm) else {
             return;
         };
-        let address = record.address;
         let near = record.zone == self.zone;
         let period = if near {
             self.limits.probe_period
         } else {
             self.limits.far_direct
         };
+        let sequence = self.count_up();
         let Some(suspicion) = self.suspicions.iter_mut().find(|one| one.vm == *vm) else {
             return;
         };
-        suspicion.remind = Some(now + period);
-        let sequence = self.count_up();
-        self.send(Some(vm), address, Body::Ping { sequence });
+        let first = suspicion.own.map_or(sequence, |raised| raised.first);
+        let remind_at = now + period;
+        suspicion.own = Some(Raised { first, remind_at });
+        self.probe_again(vm, sequence);
     }
 
     /// Reminds suspected VMs, and declares those failed that did not refute in time.
@@ -286,7 +312,8 @@
             return;
         }
         let over = |one: &&Suspicion| now >= one.until;
-        let due = |one: &&Suspicion| now < one.until && one.remind.is_some_and(|at| now >= at);
+        let waiting = |one: &Suspicion| one.own.is_some_and(|own| now >= own.remind_at);
+        let due = |one: &&Suspicion| now < one.until && waiting(one);
         let failed: Vec<Suspicion> = self.suspicions.iter().filter(over).cloned().collect();
         let remind: Vec<Suspicion> = self.suspicions.iter().filter(due).cloned().collect();
         self.suspicions.retain(|one| now < one.until);
--- a/chervildrift_core/src/membership/sync.rs
+++ b/chervildrift_core/src/membership/sync.rs
@@ -18,12 +18,15 @@
 /// Bytes of a page besides its entries: its bucket and two names.
 const PAGE_BYTES: usize = 200;
 
+/// Times that a seed is asked soon after it is named; later it is asked now and then.
+const SEED_TRIES: u8 = 3;
+
 /// Of the anti-entropy exchanges, one in this many goes to another availability zone, and one to
 /// a failed VM or a seed that is not a member, which is how a healed partition is noticed.
 const SYNC_TARGETS: u64 = 4;
 
 impl Membership {
-    /// Remembers seeds that are not members; the list is bounded and filled at random.
+    /// Remembers seeds that are not members, up to a bound.
     pub(super) fn learn(&mut self, seeds: Vec<Seed>) {
         for seed in seeds {
             let own = seed.address == self.me.place.address;
@@ -31,16 +34,15 @@
                 .vm
                 .as_ref()
                 .is_some_and(|vm| self.table.get(vm).is_some());
-            if own || known {
+            if own || known || self.seeds.contains_key(&seed.address) {
                 continue;
             }
             if self.seeds.len() >= self.limits.seeds {
-                let Some(old) = self.seeds.keys().next().copied() else {
-                    continue;
-                };
-                self.seeds.remove(&old);
+                let index = self.rng.below(self.seeds.len() as u64) as usize;
+                let old = self.seeds.keys().nth(index).copied();
+                old.map(|address| self.seeds.remove(&address));
             }
-            self.seeds.insert(seed.address, seed.vm);
+            self.seeds.insert(seed.address, 0);
         }
     }
 
@@ -54,6 +56,13 @@
             return;
         }
         self.next.sync = self.after(now, self.next.sync, self.limits.sync_period);
+        if let Some(address) = self.untried() {
+            self.next.sync = now + self.limits.repair_period;
+            if self.rng.below(2) == 0 {
+                self.ask_seed(address);
+                return;
+            }
+        }
         let (vm, address) = match self.rng.below(SYNC_TARGETS) {
             0 => self.target(|this| this.table.random_far(this.zone, &mut this.rng).cloned()),
             1 => self.outsider(),
@@ -64,6 +73,19 @@
         }
     }
 
+    /// Returns the seed that was asked least, unless all were asked often enough.
+    fn untried(&self) -> Option<SocketAddr> {
+        let (address, tries) = self.seeds.iter().min_by_key(|(_, tries)| **tries)?;
+        (*tries < SEED_TRIES).then_some(*address)
+    }
+
+    fn ask_seed(&mut self, address: SocketAddr) {
+        if let Some(tries) = self.seeds.get_mut(&address) {
+            *tries += 1;
+        }
+        self.exchange(None, address, self.limits.sync_buckets);
+    }
+
     /// Asks a seed or a member for more members.
     fn join(&mut self, now: Time) {
         self.next.sync = now + self.limits.join_period;
@@ -116,10 +138,7 @@
 
     fn seed(&mut self) -> Option<SocketAddr> {
         let index = self.rng.below(self.seeds.len() as u64) as usize;
-        // The order of the map differs between runs; the sorted one keeps a run repeatable.
-        let mut addresses: Vec<SocketAddr> = self.seeds.keys().copied().collect();
-        addresses.sort_unstable();
-        addresses.get(index).copied()
+        self.seeds.keys().nth(index).copied()
     }
 
     fn exchange(&mut self, vm: Option<&Vm>, address: SocketAddr, budget: u8) {
--- a/chervildrift_core/src/membership/table.rs
+++ b/chervildrift_core/src/membership/table.rs
@@ -127,13 +127,31 @@
 
     /// Returns a random member of a random other availability zone.
     pub fn random_far(&self, zone: u16, rng: &mut Rng) -> Option<&Vm> {
-        let count = self.other_zones(zone) as u64;
-        let chosen = rng.below(count) as usize;
-        let far = |index: &usize| *index != usize::from(zone);
-        let mut others = (0..self.rings.len())
-            .filter(far)
-            .filter(|index| !self.rings[*index].nodes.is_empty());
-        let index = others.nth(chosen)?;
+        self.random_third(zone, zone, rng)
+    }
+
+    /// Returns the member at `turn` in a fixed round over all other availability zones.
+    pub fn far_at(&self, zone: u16, turn: usize) -> Option<&Vm> {
+        let other = |(index, _): &(usize, &Ring)| *index != usize::from(zone);
+        let others = || self.rings.iter().enumerate().filter(other);
+        let total: usize = others().map(|(_, ring)| ring.nodes.len()).sum();
+        let mut left = turn % total.max(1);
+        for (_, ring) in others() {
+            if let Some((_, vm)) = ring.nodes.get(left) {
+                return Some(vm);
+            }
+            left -= ring.nodes.len();
+        }
+        None
+    }
+
+    /// Returns a random member of a random availability zone that is neither of two.
+    pub fn random_third(&self, one: u16, two: u16, rng: &mut Rng) -> Option<&Vm> {
+        let filled = |index: &usize| !self.rings[*index].nodes.is_empty();
+        let other = |index: &usize| *index != usize::from(one) && *index != usize::from(two);
+        let others = (0..self.rings.len()).filter(other).filter(filled);
+        let chosen = rng.below(others.clone().count() as u64) as usize;
+        let index = others.clone().nth(chosen)?;
         self.random(index as u16, rng)
     }
 
@@ -212,6 +230,20 @@
         self.records.insert(record.vm.clone(), record);
     }
 
+    /// Takes a VM out of suspicion at the same incarnation.
+    pub fn clear(&mut self, vm: &Vm) {
+        let Some(record) = self.records.get_mut(vm) else {
+            return;
+        };
+        if record.state == State::Suspect {
+            record.state = if record.leaving {
+                State::Leaving
+            } else {
+                State::Alive
+            };
+        }
+    }
+
     /// Forgets a VM.
     pub fn remove(&mut self, vm: &Vm) {
         let Some(record) = self.records.remove(vm) else {
