Test placement, generations and publishers

Cause: only the membership had tests. Ruled out: a generation that starts again at 1 when the platform has lost its head record, since the VMs would never take it; the expected generation counts instead. Before: no tests of these modules.

--- a/chervildrift_core/src/generation/head.rs
+++ b/chervildrift_core/src/generation/head.rs
@@ -49,18 +49,13 @@
             .find(|publish| publish.generation == generation)
     }
 
-    /// Returns the record that follows `base`.
+    /// Returns the record that follows `base`, or the first record of a table without one.
     #[must_use]
-    pub fn follow(base: Option<&Self>, id: PublishId, author: &str, hash: BundleHash) -> Self {
-        let generation = base.map_or(0, |head| head.latest.generation) + 1;
+    pub fn follow(base: Option<&Self>, latest: Publish, hash: BundleHash) -> Self {
         let before = base.map(|head| std::iter::once(&head.latest).chain(&head.past));
         let past = before.map(|publishes| publishes.take(PAST).cloned().collect());
         Self {
-            latest: Publish {
-                generation,
-                id,
-                author: author.to_owned(),
-            },
+            latest,
             hash,
             past: past.unwrap_or_default(),
         }
--- a/chervildrift_core/src/generation/publisher.rs
+++ b/chervildrift_core/src/generation/publisher.rs
@@ -176,10 +176,14 @@
             Step::Reading | Step::ReadingBack => PublishAction::ReadHead,
             Step::Storing => PublishAction::Store { hash: self.hash },
             Step::Swapping => {
-                let base = self.base.head.as_ref();
+                let latest = Publish {
+                    generation: self.generation() + 1,
+                    id: self.id,
+                    author: self.author.clone(),
+                };
                 PublishAction::Swap {
                     tag: self.base.tag.clone(),
-                    head: Head::follow(base, self.id, &self.author, self.hash),
+                    head: Head::follow(self.base.head.as_ref(), latest, self.hash),
                 }
             }
             Step::Done => return PublishActions::new(),
@@ -248,8 +252,10 @@
         PublishActions::from_iter([PublishAction::Done(outcome)])
     }
 
+    /// Returns the generation that this publish follows. Where the platform lost its record, the
+    /// expected one counts, since the VMs take no lower generation.
     fn generation(&self) -> u64 {
-        let head = self.base.head.as_ref();
-        head.map_or(0, |head| head.latest.generation)
+        let read = self.base.head.as_ref().map(|head| head.latest.generation);
+        read.or(self.expected).unwrap_or(0)
     }
 }
--- /dev/null
+++ b/chervildrift_core/tests/generation_spread.rs
@@ -0,0 +1,301 @@
+//! Configurations on their way to all VMs.
+
+#[path = "net/cases.rs"]
+mod net;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervildrift_core::generation::{
+    Action, Answer, Body, BundleHash, Event, Generations, Head, Limits, Patch, Publish, PublishId,
+    Version,
+};
+use chervildrift_core::invariant;
+use chervildrift_core::rng::Rng;
+use chervildrift_core::types::{Time, Vm};
+use proptest::prelude::*;
+
+/// Time in which a configuration must be in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(4);
+
+/// VMs that talk to each other and to a platform.
+struct Fleet {
+    now: Time,
+    rng: Rng,
+    vms: Vec<Generations>,
+    highest: Vec<u64>,
+    events: Vec<(usize, Event)>,
+    head: Option<Head>,
+    objects: HashMap<BundleHash, Arc<[u8]>>,
+    away: bool,
+    garbled: u64,
+    bytes: usize,
+}
+
+impl Fleet {
+    fn open(seed: u64, size: usize) -> Self {
+        let mut fleet = Self {
+            now: Time(1_000),
+            rng: Rng::open(seed),
+            vms: Vec::new(),
+            highest: vec![0; size],
+            events: Vec::new(),
+            head: None,
+            objects: HashMap::new(),
+            away: false,
+            garbled: 0,
+            bytes: 0,
+        };
+        for index in 0..size {
+            let vm = Generations::open(Rng::open(seed + index as u64), Limits::default());
+            fleet.vms.push(vm);
+            fleet.events.push((index, Event::Poller(index < 2)));
+        }
+        fleet
+    }
+
+    /// Starts a VM anew, without its configuration.
+    fn restart(&mut self, index: usize) {
+        self.vms[index] = Generations::open(Rng::open(self.rng.next()), Limits::default());
+        self.highest[index] = 0;
+    }
+
+    fn publish(&mut self, text: &[u8]) {
+        let hash = BundleHash::of(text);
+        let generation = self.head.as_ref().map_or(0, |head| head.latest.generation) + 1;
+        let latest = Publish {
+            generation,
+            id: PublishId(generation),
+            author: "operator".to_owned(),
+        };
+        self.objects.insert(hash, Arc::from(text));
+        self.head = Some(Head::follow(self.head.as_ref(), latest, hash));
+    }
+
+    fn name(index: usize) -> Vm {
+        Vm::from(index.to_string())
+    }
+
+    fn index(vm: &Vm) -> usize {
+        vm.as_str().parse().expect("a number")
+    }
+
+    /// Handles the events due, and carries out their actions by events of the next step.
+    fn step(&mut self) {
+        self.now = self.now + Duration::from_millis(25);
+        for index in 0..self.vms.len() {
+            self.events.push((index, Event::Tick));
+            let other = self.rng.below(self.vms.len() as u64) as usize;
+            let version = self.vms[other].version();
+            if version != self.vms[index].version() {
+                let vm = Self::name(other);
+                self.events.push((index, Event::Heard { vm, version }));
+            }
+        }
+        for (index, event) in std::mem::take(&mut self.events) {
+            for action in self.vms[index].handle(self.now, event) {
+                self.act(index, action);
+            }
+            let generation = self.vms[index].version().generation;
+            assert!(generation >= self.highest[index], "went down at {index}");
+            self.highest[index] = generation;
+        }
+    }
+
+    fn act(&mut self, index: usize, action: Action) {
+        let event = match action {
+            Action::ReadHead if self.away => Some(Event::HeadFailed),
+            Action::ReadHead => Some(Event::Head(self.head.clone())),
+            Action::FetchStore { hash } if self.away => Some(Event::Failed { hash }),
+            Action::FetchStore { hash } => self.store(hash),
+            Action::FetchPeer { vm, hash, base } => {
+                let asked = Event::Asked {
+                    vm: Self::name(index),
+                    hash,
+                    base,
+                };
+                self.events.push((Self::index(&vm), asked));
+                None
+            }
+            Action::Serve { vm, hash, answer } => return self.serve(index, vm, hash, answer),
+            Action::Install { version, bundle } => {
+                assert_eq!(BundleHash::of(&bundle), version.hash);
+                None
+            }
+            Action::Ready => None,
+        };
+        self.events.extend(event.map(|event| (index, event)));
+    }
+
+    fn store(&self, hash: BundleHash) -> Option<Event> {
+        let body = Body::Whole(Arc::clone(self.objects.get(&hash)?));
+        Some(Event::Body { hash, body })
+    }
+
+    fn serve(&mut self, index: usize, vm: Vm, hash: BundleHash, answer: Answer) {
+        let to = Self::index(&vm);
+        let garbled = self.rng.below(100) < self.garbled;
+        let event = match answer {
+            Answer::Body(_) if garbled => Event::Body {
+                hash,
+                body: Body::Whole(Arc::from(&b"garbled"[..])),
+            },
+            Answer::Body(body) => {
+                self.bytes += body.size();
+                self.events.push((index, Event::Sent { vm }));
+                Event::Body { hash, body }
+            }
+            Answer::Busy | Answer::Unknown => Event::Failed { hash },
+        };
+        self.events.push((to, event));
+    }
+
+    fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    fn everywhere(&self) -> bool {
+        let wanted = self.head.as_ref().map(Head::version);
+        self.vms.iter().all(|vm| Some(vm.version()) == wanted)
+    }
+}
+
+proptest! {
+    #![proptest_config(net::cases(24))]
+
+    /// Guards against a configuration that is late, missing or older somewhere, while bundles
+    /// are garbled and VMs restart.
+    #[test]
+    fn random_schedule(seed: u64, size in 4_usize..30, garbled in 0_u64..20, away: bool) {
+        let mut fleet = Fleet::open(seed, size);
+        fleet.garbled = garbled;
+        for number in 0..12 {
+            let text = format!("{:0>3000}{number}{:0>3000}", 1, 2);
+            fleet.publish(text.as_bytes());
+            fleet.away = away && number % 3 == 1;
+            let restarted = fleet.rng.below(size as u64) as usize;
+            fleet.restart(restarted);
+            let pause = fleet.rng.below(1_500);
+            fleet.run(Duration::from_millis(pause));
+        }
+        fleet.away = false;
+        fleet.run(IN_FORCE);
+        prop_assert!(fleet.everywhere());
+        prop_assert!(fleet.vms.iter().all(Generations::is_ready));
+        prop_assert_eq!(invariant::count(), 0);
+    }
+
+    /// Guards against a patch that makes another bundle than the one it was computed from.
+    #[test]
+    fn patched_bundle(old: Vec<u8>, new: Vec<u8>) {
+        let patch = Patch::between(&old, BundleHash::of(&old), &new, BundleHash::of(&new));
+        prop_assert_eq!(patch.apply(&old), Some(new));
+    }
+}
+
+/// Guards against a VM that restarts while the platform is away and goes on without or with an
+/// old configuration.
+#[test]
+fn platform_away() {
+    let mut fleet = Fleet::open(3, 6);
+    fleet.publish(b"one");
+    fleet.run(IN_FORCE);
+    fleet.publish(b"two");
+    fleet.run(IN_FORCE);
+    fleet.away = true;
+    fleet.restart(4);
+    assert!(!fleet.vms[4].is_ready());
+    fleet.run(IN_FORCE);
+    assert!(fleet.vms[4].is_ready());
+    assert_eq!(fleet.vms[4].version().generation, 2);
+}
+
+/// Guards against a VM that reports ready although no one has told it of a configuration.
+#[test]
+fn no_configuration() {
+    let mut fleet = Fleet::open(5, 1);
+    fleet.away = true;
+    fleet.run(IN_FORCE);
+    assert!(!fleet.vms[0].is_ready());
+}
+
+/// Guards against one VM that sends the bundle to all others at once.
+#[test]
+fn bounded_transfers() {
+    let limits = Limits::default();
+    let mut vm = Generations::open(Rng::open(1), limits.clone());
+    let version = install(&mut vm, 1, b"bundle");
+    let mut served = 0;
+    for number in 0..50 {
+        let asked = Event::Asked {
+            vm: Fleet::name(number),
+            hash: version.hash,
+            base: None,
+        };
+        let actions = vm.handle(Time(2_000), asked);
+        let body = |action: &Action| {
+            matches!(
+                action,
+                Action::Serve {
+                    answer: Answer::Body(_),
+                    ..
+                }
+            )
+        };
+        served += actions.iter().filter(|action| body(action)).count();
+    }
+    assert_eq!(served, limits.transfers);
+}
+
+/// Guards against whole bundles where a small change would do.
+#[test]
+fn small_change() {
+    let mut fleet = Fleet::open(7, 20);
+    let mut text = vec![7; 100_000];
+    fleet.publish(&text);
+    fleet.run(IN_FORCE);
+    fleet.bytes = 0;
+    text[50_000] = 8;
+    fleet.publish(&text);
+    fleet.run(IN_FORCE);
+    assert!(fleet.everywhere());
+    assert!(fleet.bytes < 100_000, "{} bytes", fleet.bytes);
+}
+
+/// Guards against a lower generation from a platform that was restored from an old copy.
+#[test]
+fn restored_platform() {
+    let mut vm = Generations::open(Rng::open(1), Limits::default());
+    let version = install(&mut vm, 5, b"five");
+    let head = Head {
+        latest: Publish {
+            generation: 4,
+            id: PublishId(4),
+            author: "operator".to_owned(),
+        },
+        hash: BundleHash::of(b"four"),
+        past: Vec::new(),
+    };
+    let actions = vm.handle(Time(9_000), Event::Head(Some(head)));
+    assert!(
+        !actions
+            .iter()
+            .any(|action| matches!(action, Action::FetchStore { .. }))
+    );
+    assert_eq!(vm.version(), version);
+}
+
+fn install(vm: &mut Generations, generation: u64, text: &[u8]) -> Version {
+    let hash = BundleHash::of(text);
+    let version = Version { generation, hash };
+    let peer = Vm::from("peer");
+    vm.handle(Time(1_000), Event::Heard { vm: peer, version });
+    let body = Body::Whole(Arc::from(text));
+    vm.handle(Time(1_000), Event::Body { hash, body });
+    assert_eq!(vm.version(), version);
+    version
+}
--- a/chervildrift_core/tests/net/mod.rs
+++ b/chervildrift_core/tests/net/mod.rs
@@ -5,6 +5,8 @@
     reason = "each test file compiles this module and uses a part"
 )]
 
+mod cases;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -15,18 +17,8 @@
 };
 use chervildrift_core::rng::Rng;
 use chervildrift_core::types::{Time, Vm, Zone};
-use proptest::test_runner::{Config, RngSeed};
 
-/// Returns the proptest configuration with the seed and case count of the environment.
-pub fn cases(default: u32) -> Config {
-    let number = |name: &str| std::env::var(name).ok()?.parse().ok();
-    Config {
-        cases: number("CHERVILDRIFT_CASES").map_or(default, |count: u64| count as u32),
-        rng_seed: RngSeed::Fixed(number("CHERVILDRIFT_SEED").unwrap_or(1)),
-        failure_persistence: None,
-        ..Config::default()
-    }
-}
+pub use self::cases::cases;
 
 /// One VM of the network.
 pub struct Node {
--- /dev/null
+++ b/chervildrift_core/tests/placement_order.rs
@@ -0,0 +1,101 @@
+//! Placement of dispatchers.
+
+#[path = "net/cases.rs"]
+mod net;
+
+use chervildrift_core::placement::{Placement, dispatcher, first, pollers, rank};
+use chervildrift_core::types::{Upstream, Vm, Zone};
+use proptest::prelude::*;
+
+fn fleet(size: usize) -> Vec<(Vm, Zone)> {
+    let zone = |index: usize| Zone::from(format!("zone-{}", index % 3));
+    (0..size)
+        .map(|index| (Vm::from(format!("vm-{index}")), zone(index)))
+        .collect()
+}
+
+fn filled(fleet: &[(Vm, Zone)]) -> Placement {
+    let mut placement = Placement::open();
+    for (vm, zone) in fleet {
+        placement.add(vm, zone);
+    }
+    placement
+}
+
+proptest! {
+    #![proptest_config(net::cases(32))]
+
+    /// Guards against dispatchers that move although their VM is still there, and against a
+    /// successor that is not the next dispatcher.
+    #[test]
+    fn lost_vm(size in 4_usize..60, lost: prop::sample::Index, salt: u16) {
+        let fleet = fleet(size);
+        let mut placement = filled(&fleet);
+        let gone = &fleet[lost.index(size)].0;
+        for number in 0..60 {
+            let upstream = Upstream::from(format!("db-{salt}-{number}"));
+            let zone = &fleet[number % 3].1;
+            let before = placement.order(&upstream, zone).to_vec();
+            placement.remove(gone);
+            let after = placement.order(&upstream, zone).to_vec();
+            let kept: Vec<_> = before.iter().filter(|vm| *vm != gone).cloned().collect();
+            let shared = kept.len().min(after.len());
+            prop_assert_eq!(&kept[..shared], &after[..shared]);
+            let home = fleet.iter().find(|(vm, _)| vm == gone).map(|(_, zone)| zone);
+            placement.add(gone, home.expect("listed"));
+        }
+    }
+
+    /// Guards against a cached order that outlives a change of the members.
+    #[test]
+    fn stale_cache(size in 1_usize..40, steps in prop::collection::vec(any::<(bool, prop::sample::Index)>(), 1..60)) {
+        let fleet = fleet(size);
+        let mut live: Vec<(Vm, Zone)> = Vec::new();
+        let mut placement = Placement::open();
+        for (join, index) in steps {
+            let (vm, zone) = &fleet[index.index(size)];
+            live.retain(|(other, _)| other != vm);
+            if join {
+                live.push((vm.clone(), zone.clone()));
+                placement.add(vm, zone);
+            } else {
+                placement.remove(vm);
+            }
+            for number in 0..6 {
+                let upstream = Upstream::from(format!("db-{number}"));
+                let zone = &fleet[number % size].1;
+                let pairs = live.iter().map(|(vm, zone)| (vm, zone));
+                let expected = dispatcher(&upstream, zone, pairs);
+                prop_assert_eq!(placement.dispatcher(&upstream, zone), expected);
+            }
+        }
+    }
+}
+
+/// Guards against upstreams without a dispatcher when their availability zone has lost all VMs.
+#[test]
+fn empty_zone() {
+    let fleet = fleet(9);
+    let mut placement = filled(&fleet);
+    let zone = Zone::from("zone-0");
+    for (vm, _) in fleet.iter().filter(|(_, at)| *at == zone) {
+        placement.remove(vm);
+    }
+    let upstream = Upstream::from("db-1");
+    let chosen = placement.dispatcher(&upstream, &zone).cloned();
+    let others = fleet.iter().filter(|(_, at)| *at != zone);
+    let expected = first("db-1", others.map(|(vm, _)| vm));
+    assert_eq!(chosen.as_ref(), expected);
+}
+
+/// Guards against orders that differ between VMs which list the members in another order.
+#[test]
+fn listing_order() {
+    let fleet = fleet(20);
+    let names: Vec<&Vm> = fleet.iter().map(|(vm, _)| vm).collect();
+    let forward = rank("db-1", names.iter().copied());
+    let backward = rank("db-1", names.iter().rev().copied());
+    assert_eq!(forward, backward);
+    let zone = Zone::from("zone-0");
+    assert_eq!(pollers(&zone, names.iter().copied()).len(), 2);
+}
