--- a/chervildrift_core/src/dispatch/admit.rs
+++ b/chervildrift_core/src/dispatch/admit.rs
@@ -37,7 +37,7 @@
         let kind = &self.kinds[at];
         let depth = kind.queue.depth(&job.caller);
         self.check_bounds(kind, depth)?;
-        let wait = self.wait(kind, depth, self.rate(kind.rules.rank));
+        let wait = self.outlook(kind.rules.rank).wait(kind, depth);
         let service = kind.estimate.plan();
         if now + wait + service > job.deadline {
             return Err(Refusal::TooLate(wait, service));
@@ -65,14 +65,19 @@
         Ok(())
     }
 
-    /// Estimates the wait of a job whose caller has `depth` jobs of the kind waiting.
-    fn wait(&self, kind: &KindState, depth: usize, rate: f64) -> Duration {
-        let own = kind.queue.ahead(depth) as f64 * kind.estimate.mean();
-        let share = kind.share() / self.active_share(kind);
-        let ahead = (own / share).min(self.backlog(kind.rules.rank));
-        let fair = ahead / rate;
-        let limited = own / kind.rules.concurrency.max(1) as f64;
-        Duration::from_micros((fair.max(limited) + self.residual()) as u64)
+    fn outlook(&self, rank: Rank) -> Outlook {
+        let kinds = self.ranks[rank.index()].iter().map(|at| &self.kinds[*at]);
+        let (mut backlog, mut shares) = (0.0, 0.0);
+        for kind in kinds.filter(|kind| kind.queue.len() > 0) {
+            backlog += kind.backlog();
+            shares += kind.share();
+        }
+        Outlook {
+            rate: self.rate(rank),
+            backlog,
+            shares,
+            residual: self.residual(),
+        }
     }
 
     /// Returns the slots that `rank` is expected to get, from what the others use and may claim.
@@ -93,57 +98,62 @@
         used.min(self.policy.floors[other.index()])
     }
 
-    /// Returns the weights of the kinds of a rank that have work, with `kind` among them.
-    fn active_share(&self, kind: &KindState) -> f64 {
-        let peers = self.ranks[kind.rules.rank.index()].iter();
-        let active = peers.map(|at| &self.kinds[*at]);
-        let active = active.filter(|peer| peer.queue.len() > 0 || std::ptr::eq(*peer, kind));
-        active.map(KindState::share).sum()
-    }
-
-    /// Returns the slot time that the waiting jobs of `rank` need, in microseconds.
-    fn backlog(&self, rank: Rank) -> f64 {
-        let kinds = self.ranks[rank.index()].iter();
-        kinds.map(|at| self.kinds[*at].backlog()).sum()
-    }
-
     /// Returns the time until a slot is free, in microseconds.
     fn residual(&self) -> f64 {
         let limit = self.limit();
         if self.total() < limit {
             return 0.0;
         }
-        let running = self.kinds.iter();
-        let work: f64 = running
-            .map(|kind| kind.running as f64 * kind.estimate.mean())
-            .sum();
-        work / self.total().max(1).pow(2) as f64
+        self.work / self.total().max(1).pow(2) as f64
     }
 
     fn rank_load(&self, rank: Rank) -> RankLoad {
-        let rate = self.rate(rank);
+        let outlook = self.outlook(rank);
         let kinds = self.ranks[rank.index()].iter().map(|at| &self.kinds[*at]);
         let declared = kinds.filter(|kind| kind.declared);
-        let waits = declared.map(|kind| (self.wait(kind, 0, rate), kind.estimate.plan()));
+        let waits = declared.map(|kind| (outlook.wait(kind, 0), kind.estimate.plan()));
         let (wait, service) = waits
             .min_by_key(|(wait, plan)| *wait + *plan)
             .unwrap_or_default();
+        let limit = self.policy.queue_limits[rank.index()];
         RankLoad {
             queued: self.queued(rank),
             wait,
             service,
-            reopen: self.reopen(rank, rate),
+            reopen: outlook.reopen(self.queued(rank), limit),
         }
     }
+}
+
+/// What decides the waits in one rank; times are in microseconds.
+struct Outlook {
+    /// Slots that the rank is expected to get.
+    rate: f64,
+    /// Slot time that the waiting jobs need.
+    backlog: f64,
+    /// Weights of the kinds that have jobs waiting.
+    shares: f64,
+    /// Time until a slot is free.
+    residual: f64,
+}
+
+impl Outlook {
+    /// Estimates the wait of a job whose caller has `depth` jobs of the kind waiting.
+    fn wait(&self, kind: &KindState, depth: usize) -> Duration {
+        let own = kind.queue.ahead(depth) as f64 * kind.estimate.mean();
+        let ahead = (own * self.shares / kind.share()).min(self.backlog);
+        let fair = ahead / self.rate;
+        let limited = own / kind.rules.concurrency.max(1) as f64;
+        Duration::from_micros((fair.max(limited) + self.residual) as u64)
+    }
 
-    /// Returns the time until the queue of `rank` has drained below its low mark.
-    fn reopen(&self, rank: Rank, rate: f64) -> Duration {
-        let low = self.policy.queue_limits[rank.index()] as f64 * LOW_MARK;
-        let queued = self.queued(rank) as f64;
+    /// Returns the time until a queue has drained below its low mark.
+    fn reopen(&self, queued: usize, limit: usize) -> Duration {
+        let (queued, low) = (queued as f64, limit as f64 * LOW_MARK);
         if queued <= low {
             return Duration::ZERO;
         }
-        let job = self.backlog(rank) / queued;
-        Duration::from_micros(((queued - low) * job / rate) as u64)
+        let work = self.backlog * (queued - low) / queued;
+        Duration::from_micros((work / self.rate) as u64)
     }
 }
--- /dev/null
+++ b/chervildrift_core/src/dispatch/calendar.rs
@@ -0,0 +1,73 @@
+//! Waiting jobs by their latest useful start, in buckets of a few milliseconds.
+//!
+//! Few buckets stay in the processor's cache, which one ordered entry for each of many thousands of
+//! jobs does not. A job is thus reported as expired up to one bucket late; it is never started late.
+
+use std::collections::BTreeMap;
+
+use super::lists::{List, Lists};
+use crate::types::Time;
+
+/// Width of a bucket in microseconds.
+const BUCKET_US: u64 = 4_096;
+
+/// Keys of waiting jobs by bucket.
+#[derive(Clone, Debug)]
+pub struct Calendar {
+    buckets: BTreeMap<u64, List>,
+    entries: Lists<u32>,
+    len: usize,
+}
+
+impl Calendar {
+    /// Builds an empty calendar.
+    pub const fn new() -> Self {
+        Self {
+            buckets: BTreeMap::new(),
+            entries: Lists::new(),
+            len: 0,
+        }
+    }
+
+    /// Returns the number of jobs.
+    pub const fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Notes the job at `key` and returns its entry.
+    pub fn insert(&mut self, latest: Time, key: u32) -> u32 {
+        let bucket = self.buckets.entry(latest.0 / BUCKET_US);
+        let list = bucket.or_insert_with(List::new);
+        self.len += 1;
+        self.entries.push(list, key)
+    }
+
+    /// Takes out the entry of a job; false if there is none.
+    pub fn remove(&mut self, latest: Time, entry: u32) -> bool {
+        let bucket = latest.0 / BUCKET_US;
+        let Some(list) = self.buckets.get_mut(&bucket) else {
+            return false;
+        };
+        let found = self.entries.remove(list, entry).is_some();
+        if list.len() == 0 {
+            self.buckets.remove(&bucket);
+        }
+        self.len -= usize::from(found);
+        found
+    }
+
+    /// Returns when the first bucket has passed.
+    pub fn due(&self) -> Option<Time> {
+        let (bucket, _) = self.buckets.first_key_value()?;
+        Some(Time((bucket + 1).saturating_mul(BUCKET_US)))
+    }
+
+    /// Returns the key of a job whose bucket has passed; the job stays in the calendar.
+    pub fn passed(&self, now: Time) -> Option<u32> {
+        let (bucket, list) = self.buckets.first_key_value()?;
+        if *bucket >= now.0 / BUCKET_US {
+            return None;
+        }
+        self.entries.get(list.first()?).copied()
+    }
+}
--- a/chervildrift_core/src/dispatch/estimate.rs
+++ b/chervildrift_core/src/dispatch/estimate.rs
@@ -72,7 +72,7 @@
 
     /// Returns the service time to plan with.
     pub fn plan(&self) -> Duration {
-        let micros = PLAN_DEVIATIONS.mul_add(self.deviation, self.mean);
+        let micros = self.mean + PLAN_DEVIATIONS * self.deviation;
         Duration::from_micros(micros as u64)
     }
 }
--- a/chervildrift_core/src/dispatch/mod.rs
+++ b/chervildrift_core/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 //! turns.
 
 mod admit;
+mod calendar;
 mod estimate;
 mod gate;
 mod job;
--- a/chervildrift_core/src/dispatch/queue.rs
+++ b/chervildrift_core/src/dispatch/queue.rs
@@ -15,6 +15,8 @@
     pub kind: usize,
     /// Key of the caller's lane in the kind's queue.
     pub lane: u32,
+    /// Entry in the calendar of latest starts.
+    pub entry: u32,
     /// Latest start that still meets the deadline.
     pub latest: Time,
 }
--- a/chervildrift_core/src/dispatch/scheduler.rs
+++ b/chervildrift_core/src/dispatch/scheduler.rs
@@ -1,8 +1,9 @@
 //! The scheduler of one upstream.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::time::Duration;
 
+use super::calendar::Calendar;
 use super::gate::Gate;
 use super::job::{Finish, Job, JobId, JobIds, Refusal};
 use super::kind::KindState;
@@ -27,18 +28,30 @@
     /// Fair-queueing clock of each rank: what the kind served last had spent.
     pub(super) clocks: [f64; Rank::COUNT],
     pub(super) usage: Usage,
+    /// Slot time that the running jobs were expected to take, in microseconds.
+    pub(super) work: f64,
     pub(super) gate: Gate,
     /// Since when at least one slot has been free.
     pub(super) spare: Time,
     jobs: Lists<Waiting>,
-    index: HashMap<JobId, u32>,
+    places: HashMap<JobId, Place>,
     /// Waiting jobs by their latest useful start.
-    starts: BTreeSet<(Time, u32)>,
-    held: HashMap<JobId, Held>,
+    starts: Calendar,
     adaptive: Adaptive,
     expired: JobIds,
 }
 
+/// Where a job is.
+#[derive(Clone, Copy, Debug)]
+enum Place {
+    /// In its queue, under this key.
+    Waiting(u32),
+    /// In a slot.
+    Running(Held),
+    /// Out of its queue, but not reported as expired yet.
+    Expired,
+}
+
 /// A job that holds a slot.
 #[derive(Clone, Copy, Debug)]
 struct Held {
@@ -60,12 +73,12 @@
             running: [0; Rank::COUNT],
             clocks: [0.0; Rank::COUNT],
             usage: Usage::open(policy.window),
+            work: 0.0,
             gate: Gate::Open,
             spare: Time::default(),
             jobs: Lists::new(),
-            index: HashMap::new(),
-            starts: BTreeSet::new(),
-            held: HashMap::new(),
+            places: HashMap::new(),
+            starts: Calendar::new(),
             adaptive: Adaptive::open(policy.slots),
             expired: JobIds::new(),
         };
@@ -93,12 +106,13 @@
             id: job.id,
             kind,
             lane: 0,
+            entry: 0,
             latest,
         };
         let queue = &mut self.kinds[kind].queue;
         let key = queue.push(&mut self.jobs, job.caller, waiting);
-        self.index.insert(job.id, key);
-        self.starts.insert((latest, key));
+        self.places.insert(job.id, Place::Waiting(key));
+        self.schedule(key, latest);
         self.queued[rank] += 1;
         Ok(())
     }
@@ -109,12 +123,12 @@
         while self.total() < self.open_slots(now) {
             let kind = self.choose(now)?;
             let waiting = self.kinds[kind].queue.pop(&mut self.jobs)?;
-            self.forget(&waiting);
-            if waiting.latest < now {
-                self.expired.push(waiting.id);
-                continue;
+            self.leave(&waiting);
+            if waiting.latest >= now {
+                return self.start(now, &waiting);
             }
-            return self.start(now, &waiting);
+            self.places.insert(waiting.id, Place::Expired);
+            self.expired.push(waiting.id);
         }
         None
     }
@@ -122,24 +136,28 @@
     /// Frees the slot of a job that was handed out.
     pub fn finish(&mut self, now: Time, id: JobId, finish: Finish) {
         self.advance(now);
-        let Some(held) = self.held.remove(&id) else {
+        let Some(Place::Running(held)) = self.places.get(&id).copied() else {
             invariant::breach("dispatch-finish", "the job holds no slot");
             return;
         };
+        self.places.remove(&id);
         if self.total() >= self.open_slots(now) {
             self.spare = now;
         }
+        let took = now.since(held.started);
         let kind = &mut self.kinds[held.kind];
         kind.running -= 1;
-        self.running[kind.rules.rank.index()] -= 1;
-        let took = now.since(held.started);
         kind.charge(took.as_micros() as f64 - held.charged);
+        self.running[kind.rules.rank.index()] -= 1;
+        // An idle upstream starts from zero again, so that rounding errors never add up.
+        let idle = self.total() == 0;
+        self.work = if idle { 0.0 } else { self.work - held.charged };
         self.learn(now, held.kind, took, finish);
     }
 
     /// Takes a waiting job out of its queue; false if it is running or unknown.
     pub fn cancel(&mut self, id: JobId) -> bool {
-        let Some(key) = self.index.get(&id).copied() else {
+        let Some(Place::Waiting(key)) = self.places.get(&id).copied() else {
             return false;
         };
         self.withdraw(key).is_some()
@@ -148,14 +166,11 @@
     /// Returns the jobs that can no longer finish in time; none of them was run.
     pub fn expire(&mut self, now: Time) -> JobIds {
         let mut expired = std::mem::take(&mut self.expired);
-        while let Some((latest, key)) = self.starts.first().copied() {
-            if latest >= now {
-                break;
-            }
-            match self.withdraw(key) {
-                Some(id) => expired.push(id),
-                None => break,
-            }
+        for id in &expired {
+            self.places.remove(id);
+        }
+        while let Some(id) = self.starts.passed(now).and_then(|key| self.withdraw(key)) {
+            expired.push(id);
         }
         expired
     }
@@ -175,15 +190,14 @@
     /// Returns when `next` or `expire` should be called although nothing else happens.
     #[must_use]
     pub fn due(&self, now: Time) -> Option<Time> {
-        let microsecond = Duration::from_micros(1);
-        let expiry = self.starts.first().map(|(latest, _)| *latest + microsecond);
-        let expiry = if self.expired.is_empty() {
-            expiry
+        let reported = self.expired.is_empty();
+        let expiry = if reported {
+            self.starts.due()
         } else {
             Some(now)
         };
         let opening = self.gate.due(now, self.limit(), self.policy.ramp);
-        let opening = opening.filter(|_| !self.index.is_empty());
+        let opening = opening.filter(|_| self.starts.len() > 0);
         let reserve = self.reserve_end(now);
         [expiry, opening, reserve].into_iter().flatten().min()
     }
@@ -215,8 +229,7 @@
 
     /// Tells whether a job with this id waits, runs or has expired without being reported yet.
     pub(super) fn knows(&self, id: JobId) -> bool {
-        let active = self.index.contains_key(&id) || self.held.contains_key(&id);
-        active || self.expired.contains(&id)
+        self.places.contains_key(&id)
     }
 
     /// Returns the number of slots in use.
@@ -240,6 +253,14 @@
         Time(deadline.since(Time(plan.as_micros() as u64)).as_micros() as u64)
     }
 
+    /// Notes until when the waiting job at `key` is worth starting.
+    fn schedule(&mut self, key: u32, latest: Time) {
+        let entry = self.starts.insert(latest, key);
+        if let Some(waiting) = self.jobs.get_mut(key) {
+            waiting.entry = entry;
+        }
+    }
+
     /// Keeps a kind that had no work from saving up its share.
     fn wake(&mut self, kind: usize) {
         let kind = &mut self.kinds[kind];
@@ -262,13 +283,15 @@
         kind.charge(charged);
         kind.running += 1;
         self.running[rank] += 1;
+        self.work += charged;
         let held = Held {
             kind: waiting.kind,
             started: now,
             charged,
         };
-        if self.held.insert(waiting.id, held).is_some() {
-            invariant::breach("dispatch-twice", "a running job was handed out again");
+        let before = self.places.insert(waiting.id, Place::Running(held));
+        if !matches!(before, Some(Place::Waiting(_))) {
+            invariant::breach("dispatch-twice", "a job was handed out that did not wait");
             return None;
         }
         Some(waiting.id)
@@ -293,24 +316,20 @@
     fn withdraw(&mut self, key: u32) -> Option<JobId> {
         let kind = self.jobs.get(key)?.kind;
         let waiting = self.kinds[kind].queue.remove(&mut self.jobs, key)?;
-        self.forget(&waiting);
+        self.leave(&waiting);
+        self.places.remove(&waiting.id);
         Some(waiting.id)
     }
 
-    /// Drops what is known of a job that has left its queue.
-    fn forget(&mut self, waiting: &Waiting) {
+    /// Takes a job that has left its queue out of the counts.
+    fn leave(&mut self, waiting: &Waiting) {
         let rank = self.kinds[waiting.kind].rules.rank.index();
         self.queued[rank] -= 1;
-        let key = self.index.remove(&waiting.id);
-        let listed = key.is_some_and(|key| self.starts.remove(&(waiting.latest, key)));
-        if !listed {
-            invariant::breach("dispatch-index", "a waiting job was not indexed");
+        if !self.starts.remove(waiting.latest, waiting.entry) {
+            invariant::breach("dispatch-starts", "a waiting job had no latest start");
         }
-        if self.index.len() != self.queued.iter().sum::<usize>() {
-            invariant::breach(
-                "dispatch-count",
-                "the queues and the index differ in length",
-            );
+        if self.starts.len() != self.queued.iter().sum::<usize>() {
+            invariant::breach("dispatch-count", "the queues and the latest starts differ");
         }
     }
 
--- a/chervildrift_core/src/limit/adaptive.rs
+++ b/chervildrift_core/src/limit/adaptive.rs
@@ -108,7 +108,7 @@
         let slowness = self.sum / f64::from(self.count);
         let factor = (TOLERATED / slowness.max(f64::EPSILON)).clamp(MAX_DROP, 1.0);
         let headroom = HEADROOM * self.limit.sqrt();
-        self.limit = self.clamp(self.limit.mul_add(factor, headroom));
+        self.limit = self.clamp(self.limit * factor + headroom);
         self.sum = 0.0;
         self.count = 0;
     }
--- a/chervildrift_core/src/limit/retry.rs
+++ b/chervildrift_core/src/limit/retry.rs
@@ -57,7 +57,7 @@
     /// Takes one retry out of the budget, if there is one left.
     pub fn retry(&mut self, now: Time) -> bool {
         self.decay(now);
-        let allowed = self.rules.ratio.mul_add(self.requests, self.rules.constant);
+        let allowed = self.rules.ratio * self.requests + self.rules.constant;
         if self.retries + 1.0 > allowed {
             return false;
         }
