Add a fake of a database group and randomised runs

Ruled out: support modules under the core's tests, because the measurement of failover needs the same fake; counting an upstream fenced at a later term towards an acknowledgement, because its primary may already be replaced. Change: chervildrift_model, the library of chervildrift_bench, with upstreams, VMs, network, faults, callers that repeat or ask after unknown outcomes, and a ledger of what really happened; four randomised tests. Conclusion: the majority rule is what keeps the writes.

--- /dev/null
+++ b/chervildrift_bench/src/model/network.rs
@@ -0,0 +1,120 @@
+//! Delays, cuts and losses between parties.
+
+use std::time::Duration;
+
+use chervildrift_core::rng::Rng;
+
+use super::message::Party;
+
+/// Number of availability zones of a deployment.
+const ZONES: usize = 3;
+
+/// One of the two deployments of the design page.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Deployment {
+    /// Booking pool for farms' machines.
+    Federation,
+    /// Quotes for polishing workshops.
+    Barnizados,
+}
+
+impl Deployment {
+    /// Returns the one-way latency between two availability zones.
+    #[must_use]
+    pub const fn between_zones(self) -> Duration {
+        match self {
+            Self::Federation => Duration::from_millis(1),
+            Self::Barnizados => Duration::from_micros(500),
+        }
+    }
+
+    /// Returns the one-way latency between two regions.
+    #[must_use]
+    pub const fn between_regions(self) -> Duration {
+        Duration::from_millis(20)
+    }
+
+    /// Returns the time to open a new connection.
+    #[must_use]
+    pub const fn connecting(self) -> Duration {
+        match self {
+            Self::Federation => Duration::from_millis(10),
+            Self::Barnizados => Duration::from_millis(30),
+        }
+    }
+}
+
+/// Network between the parties of a group.
+#[derive(Clone, Debug)]
+pub struct Network {
+    /// One-way latency between availability zones.
+    pub latency: Duration,
+    /// Time an upstream takes for a request.
+    pub service: Duration,
+    /// Share of messages that are lost.
+    pub loss: f64,
+    /// Share of messages that are delayed by up to `tail`.
+    pub slow: f64,
+    /// Greatest extra delay of a slow message.
+    pub tail: Duration,
+    cuts: Vec<(Party, Party)>,
+}
+
+impl Network {
+    /// Opens a network with one latency between availability zones.
+    #[must_use]
+    pub const fn open(latency: Duration) -> Self {
+        Self {
+            latency,
+            service: Duration::from_micros(200),
+            loss: 0.0,
+            slow: 0.0,
+            tail: Duration::ZERO,
+            cuts: Vec::new(),
+        }
+    }
+
+    /// Returns the availability zone of a party.
+    #[must_use]
+    pub const fn zone(party: Party) -> usize {
+        match party {
+            Party::Upstream(index) | Party::Vm(index) => index % ZONES,
+        }
+    }
+
+    /// Cuts or heals the link between two parties, in both directions.
+    pub fn cut(&mut self, a: Party, b: Party, cut: bool) {
+        let link = (a.min(b), a.max(b));
+        self.cuts.retain(|other| *other != link);
+        if cut {
+            self.cuts.push(link);
+        }
+    }
+
+    /// Heals all links.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.loss = 0.0;
+        self.slow = 0.0;
+    }
+
+    /// Returns the time a message takes, or nothing if it is lost.
+    pub fn carry(&self, from: Party, to: Party, rng: &mut Rng) -> Option<Duration> {
+        let link = (from.min(to), from.max(to));
+        if self.cuts.contains(&link) || rng.unit() < self.loss {
+            return None;
+        }
+        let near = Self::zone(from) == Self::zone(to);
+        let base = if near {
+            self.latency / 10
+        } else {
+            self.latency
+        };
+        let late = if rng.unit() < self.slow {
+            rng.jitter(self.tail)
+        } else {
+            Duration::ZERO
+        };
+        Some(base + rng.jitter(base / 5 + Duration::from_micros(20)) + late)
+    }
+}
--- /dev/null
+++ b/chervildrift_bench/src/model/node.rs
@@ -0,0 +1,308 @@
+//! Fake of an upstream.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use chervildrift_core::failover::Answer;
+use chervildrift_core::types::{Mark, Position, Role, Status, Term, Time};
+
+use super::message::{Entry, Reply, Request};
+
+/// Most entries in the answer to one pull.
+const PULL_ENTRIES: usize = 512;
+
+/// Fake of an upstream with a durable log.
+#[derive(Debug)]
+pub struct Node {
+    role: Role,
+    fenced: Term,
+    promoter: Option<u64>,
+    log: Vec<Entry>,
+    /// Number of entries by key, for finding a repeated key.
+    keys: HashMap<u64, u32>,
+    following: Option<(usize, Term)>,
+    /// Length of the log that the next pull tries to match.
+    matched: usize,
+    heard: Option<Time>,
+    receive_lag: Duration,
+    apply_lag: Duration,
+    /// Length of the log that reads have seen already.
+    shown: usize,
+}
+
+impl Default for Node {
+    fn default() -> Self {
+        Self {
+            role: Role::Replica,
+            fenced: Term::default(),
+            promoter: None,
+            log: Vec::new(),
+            keys: HashMap::new(),
+            following: None,
+            matched: 0,
+            heard: None,
+            receive_lag: Duration::ZERO,
+            apply_lag: Duration::ZERO,
+            shown: 0,
+        }
+    }
+}
+
+impl Node {
+    /// Returns the log.
+    #[must_use]
+    pub fn log(&self) -> &[Entry] {
+        &self.log
+    }
+
+    /// Tells whether the upstream takes writes.
+    #[must_use]
+    pub fn leads(&self) -> bool {
+        self.role == Role::Primary && self.received().term == self.fenced
+    }
+
+    /// Returns the time by which the upstream receives entries late.
+    #[must_use]
+    pub const fn receive_lag(&self) -> Duration {
+        self.receive_lag
+    }
+
+    /// Makes the upstream receive entries late by `receive` and show them late by `apply`.
+    pub fn set_lag(&mut self, now: Time, receive: Duration, apply: Duration) {
+        self.shown = self.applied(now);
+        self.receive_lag = receive;
+        self.apply_lag = apply;
+    }
+
+    /// Returns the last entry of the log.
+    #[must_use]
+    pub fn received(&self) -> Mark {
+        self.mark(self.log.len())
+    }
+
+    /// Returns the primary that the upstream pulls from, and its term.
+    #[must_use]
+    pub const fn following(&self) -> Option<(usize, Term)> {
+        self.following
+    }
+
+    /// Tells whether the log holds a key.
+    #[must_use]
+    pub fn holds(&self, key: u64) -> bool {
+        self.keys.get(&key).is_some_and(|&count| count > 0)
+    }
+
+    /// Tells whether reads see a key.
+    #[must_use]
+    pub fn shows(&self, now: Time, key: u64) -> bool {
+        let applied = &self.log[..self.applied(now)];
+        applied.iter().rev().any(|entry| entry.key == key)
+    }
+
+    /// Returns the status.
+    #[must_use]
+    pub fn status(&self, now: Time) -> Status {
+        Status {
+            role: self.role,
+            fenced: self.fenced,
+            received: self.received(),
+            applied: self.mark(self.applied(now)),
+            heard: self.heard.map(|heard| now.since(heard)),
+        }
+    }
+
+    /// Handles a request; `lag` is the receive lag of the replica that pulls.
+    pub fn handle(&mut self, now: Time, request: Request, lag: Duration) -> Reply {
+        match request {
+            Request::Status => Reply::Status(self.status(now)),
+            Request::Fence { term, promoter } => Reply::Fence(self.fence(term, promoter)),
+            Request::Promote { term, promoter } => {
+                Reply::Promote(self.promote(now, term, promoter))
+            }
+            Request::Follow { primary, term } => self.follow(now, primary, term),
+            Request::Write { key, cancels } => self.write(now, key, cancels),
+            Request::Read { key, .. } => Reply::Read {
+                status: self.status(now),
+                visible: self.shows(now, key),
+            },
+            Request::Pull { term, after, tail } => self.serve(now, term, after, tail, lag),
+        }
+    }
+
+    /// Returns the next pull.
+    #[must_use]
+    pub fn pull(&self) -> Option<(usize, Request)> {
+        let (primary, term) = self.following?;
+        let after = self.matched;
+        let tail = self.mark(after).term;
+        Some((primary, Request::Pull { term, after, tail }))
+    }
+
+    /// Takes the answer to a pull.
+    pub fn take(&mut self, now: Time, from: usize, reply: &Reply) {
+        let current = |term| self.following == Some((from, term)) && self.fenced == term;
+        match reply {
+            Reply::Entries {
+                term,
+                after,
+                entries,
+            } if current(*term) => {
+                self.heard = Some(now);
+                self.append(*after, entries);
+            }
+            Reply::Mismatch { term, length, tail } if current(*term) => {
+                self.heard = Some(now);
+                self.step_back(*length, *tail);
+            }
+            _ => {}
+        }
+    }
+
+    /// Restarts after a crash; the log, the fence and the role are durable.
+    pub fn restart(&mut self) {
+        self.following = None;
+        self.heard = None;
+    }
+
+    fn mark(&self, length: usize) -> Mark {
+        let last = length.checked_sub(1).and_then(|index| self.log.get(index));
+        Mark {
+            term: last.map_or(Term::default(), |entry| entry.term),
+            position: Position(length as u64),
+        }
+    }
+
+    fn applied(&self, now: Time) -> usize {
+        if self.role == Role::Primary {
+            return self.log.len();
+        }
+        let lag = self.apply_lag;
+        let due = self.log.partition_point(|entry| entry.at + lag <= now);
+        due.max(self.shown)
+    }
+
+    fn fence(&mut self, term: Term, promoter: u64) -> Answer {
+        let repeat = term == self.fenced && self.promoter == Some(promoter);
+        if term > self.fenced {
+            self.fenced = term;
+            self.promoter = Some(promoter);
+            self.following = None;
+        } else if !repeat {
+            return Answer::Refused {
+                fenced: self.fenced,
+            };
+        }
+        Answer::Granted {
+            received: self.received(),
+        }
+    }
+
+    fn promote(&mut self, now: Time, term: Term, promoter: u64) -> Answer {
+        if term != self.fenced || self.promoter != Some(promoter) {
+            return Answer::Refused {
+                fenced: self.fenced,
+            };
+        }
+        if !self.leads() {
+            self.role = Role::Primary;
+            self.following = None;
+            self.push(Entry {
+                term,
+                key: 0,
+                cancels: false,
+                at: now,
+            });
+        }
+        Answer::Granted {
+            received: self.received(),
+        }
+    }
+
+    fn follow(&mut self, now: Time, primary: usize, term: Term) -> Reply {
+        let own = self.leads() && self.fenced == term;
+        if term >= self.fenced && !own && self.following != Some((primary, term)) {
+            self.fenced = term;
+            self.promoter = None;
+            self.shown = self.applied(now);
+            self.role = Role::Replica;
+            self.following = Some((primary, term));
+            self.matched = self.log.len();
+            self.heard = None;
+        }
+        Reply::Follow
+    }
+
+    fn write(&mut self, now: Time, key: u64, cancels: bool) -> Reply {
+        if !self.leads() {
+            return Reply::NotPrimary;
+        }
+        if !self.holds(key) {
+            self.push(Entry {
+                term: self.fenced,
+                key,
+                cancels,
+                at: now,
+            });
+        }
+        let record = self.log.iter().rev().find(|entry| entry.key == key);
+        Reply::Written {
+            mark: self.received(),
+            cancelled: record.is_some_and(|entry| entry.cancels),
+        }
+    }
+
+    fn serve(&self, now: Time, term: Term, after: usize, tail: Term, lag: Duration) -> Reply {
+        if !self.leads() || self.fenced != term {
+            return Reply::NoEntries;
+        }
+        let length = after.min(self.log.len());
+        if length < after || self.mark(after).term != tail {
+            let length = length.min(after.saturating_sub(1));
+            let tail = self.mark(length).term;
+            return Reply::Mismatch { term, length, tail };
+        }
+        let ready = |entry: &&Entry| entry.at + lag <= now;
+        let entries = self.log[after..].iter().take_while(ready);
+        Reply::Entries {
+            term,
+            after,
+            entries: entries.take(PULL_ENTRIES).copied().collect(),
+        }
+    }
+
+    fn append(&mut self, after: usize, entries: &[Entry]) {
+        if after != self.matched {
+            return;
+        }
+        for entry in entries {
+            let same = self.log.get(self.matched).map(|own| own.term) == Some(entry.term);
+            if !same {
+                self.truncate(self.matched);
+                self.push(*entry);
+            }
+            self.matched += 1;
+        }
+    }
+
+    /// Goes back to the last own entry whose term is not above the primary's at that length.
+    fn step_back(&mut self, length: usize, tail: Term) {
+        let length = length.min(self.log.len());
+        let above = self.log[..length].iter().rev();
+        let above = above.take_while(|entry| entry.term > tail).count();
+        self.matched = length - above;
+    }
+
+    fn push(&mut self, entry: Entry) {
+        *self.keys.entry(entry.key).or_default() += 1;
+        self.log.push(entry);
+    }
+
+    fn truncate(&mut self, length: usize) {
+        self.shown = self.shown.min(length);
+        for entry in self.log.drain(length..) {
+            if let Some(count) = self.keys.get_mut(&entry.key) {
+                *count -= 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_bench/tests/group_runs.rs
@@ -0,0 +1,225 @@
+//! Randomised runs of one group with rival candidates, writers and faults.
+//!
+//! `CHERVILDRIFT_SEED` replaces the seed and `CHERVILDRIFT_CASES` the number of cases.
+
+use std::cell::Cell;
+use std::env;
+use std::time::Duration;
+
+use chervildrift_core::failover::Limits;
+use chervildrift_core::invariant;
+use chervildrift_core::rng::Rng;
+use chervildrift_model::{Fault, Faults, Network, Options, Party, Rule, World};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed, TestRunner};
+
+/// Seed of the runs in CI.
+const SEED: u64 = 20;
+
+/// Service gap of a failover that the design page allows.
+const GAP: Duration = Duration::from_secs(3);
+
+const VMS: usize = 3;
+
+fn runner(cases: u32) -> TestRunner {
+    let read = |name| {
+        env::var(name)
+            .ok()
+            .and_then(|text: String| text.parse().ok())
+    };
+    let seed = read("CHERVILDRIFT_SEED").unwrap_or(SEED);
+    let cases = read("CHERVILDRIFT_CASES").map_or(cases, |cases| cases as u32);
+    TestRunner::new(Config {
+        cases,
+        rng_seed: RngSeed::Fixed(seed),
+        failure_persistence: None,
+        max_shrink_iters: 0,
+        ..Config::default()
+    })
+}
+
+fn options(seed: u64, rule: Rule) -> Options {
+    Options {
+        seed,
+        vms: VMS,
+        rule,
+        limits: Limits::default(),
+        network: Network::open(Duration::from_millis(1)),
+        write_pause: Duration::from_millis(10),
+        patience: Duration::from_secs(4),
+    }
+}
+
+fn faults() -> Faults {
+    Faults {
+        vms: VMS,
+        shortest: Duration::from_millis(50),
+        spread: Duration::from_secs(3),
+    }
+}
+
+/// Runs one schedule of overlapping faults and then lets the group settle.
+fn run(seed: u64, rule: Rule) -> World {
+    let mut world = World::open(options(seed, rule));
+    let mut rng = Rng::open(seed ^ 1);
+    world.run_for(Duration::from_secs(1));
+    for _fault in 0..8 {
+        let fault = faults().draw(&mut rng);
+        world.inject(fault);
+        world.run_for(rng.jitter(Duration::from_millis(1_500)));
+    }
+    world.heal();
+    world.run_for(Duration::from_secs(3));
+    world.set_writing(false);
+    world.run_for(Duration::from_secs(9));
+    world
+}
+
+/// Settles the ledger against the log of the last primary.
+fn settle(world: &mut World) -> Result<(), TestCaseError> {
+    let primary = world.primary();
+    prop_assert!(primary.is_some(), "no primary after all faults ended");
+    prop_assert_eq!(world.open_writes(), 0, "writes without an outcome");
+    if let Some(index) = primary {
+        let World { ledger, nodes, .. } = world;
+        ledger.settle(&nodes[index]);
+    }
+    prop_assert!(
+        world.ledger.violations.is_empty(),
+        "{:?}",
+        world.ledger.violations
+    );
+    Ok(())
+}
+
+/// Sums over all cases.
+#[derive(Clone, Copy, Debug, Default)]
+struct Totals {
+    events: u64,
+    changes: usize,
+    acked: usize,
+    refused: usize,
+    unknown: u64,
+    served: u64,
+}
+
+impl Totals {
+    fn add(self, world: &World) -> Self {
+        Self {
+            events: self.events + world.events,
+            changes: self.changes + world.ledger.changes.len(),
+            acked: self.acked + world.ledger.acked(),
+            refused: self.refused + world.ledger.refused(),
+            unknown: self.unknown + world.ledger.unknown,
+            served: self.served + world.ledger.served,
+        }
+    }
+}
+
+/// Guards against lost, doubled or falsely refused writes, second primaries and stale reads under
+/// faults that overlap.
+#[test]
+fn overlapping_faults() {
+    let before = invariant::count();
+    let totals = Cell::new(Totals::default());
+    let outcome = runner(60).run(&any::<u64>(), |seed| {
+        let mut world = run(seed, Rule::Majority);
+        settle(&mut world)?;
+        totals.set(totals.get().add(&world));
+        Ok(())
+    });
+    println!("{:?}", totals.get());
+    outcome.unwrap();
+    assert_eq!(invariant::count(), before);
+}
+
+/// Guards against runs that would pass without the majority rule, and so show nothing.
+#[test]
+fn majority_matters() {
+    let lost = Cell::new(0);
+    let outcome = runner(30).run(&any::<u64>(), |seed| {
+        let world = run(seed, Rule::Primary);
+        let primary = world.primary().expect("a primary after all faults ended");
+        lost.set(lost.get() + world.ledger.lost(&world.nodes[primary]));
+        Ok(())
+    });
+    outcome.unwrap();
+    println!(
+        "{} acknowledged writes lost without the majority rule",
+        lost.get()
+    );
+    assert!(lost.get() > 0);
+}
+
+/// Guards against rival candidates that outbid each other for longer than the allowed gap.
+#[test]
+fn rivals_agree() {
+    let outcome = runner(40).run(&any::<u64>(), |seed| {
+        let mut world = World::open(options(seed, Rule::Majority));
+        world.run_for(Duration::from_secs(2));
+        let primary = world.primary();
+        prop_assert!(primary.is_some(), "no first primary within 2 s");
+        let start = world.now;
+        let fault = lone_fault(seed, primary.unwrap_or(0));
+        world.inject(fault);
+        world.run_for(Duration::from_secs(6));
+        let resumed = world
+            .ledger
+            .changes
+            .iter()
+            .find(|change| change.taken > start);
+        prop_assert!(resumed.is_some(), "the primary was not replaced");
+        let acked = resumed.and_then(|change| change.acked);
+        let gap = acked.map(|acked| acked.since(start));
+        prop_assert!(gap.is_some_and(|gap| gap <= GAP), "gap of {gap:?}");
+        settle_after(&mut world)
+    });
+    outcome.unwrap();
+}
+
+fn settle_after(world: &mut World) -> Result<(), TestCaseError> {
+    world.heal();
+    world.set_writing(false);
+    world.run_for(Duration::from_secs(9));
+    settle(world)
+}
+
+/// Returns a fault that takes the primary from its replicas for long, in one of several ways.
+fn lone_fault(seed: u64, primary: usize) -> Fault {
+    let span = Duration::from_secs(20);
+    let me = Party::Upstream(primary);
+    let mut others = faults().parties();
+    others.retain(|party| *party != me);
+    match seed % 4 {
+        0 => Fault::Crash(me, span),
+        1 => Fault::Freeze(me, span),
+        2 => Fault::Cut(me, others, span),
+        // VMs still reach the primary, but replicas don't.
+        _ => {
+            others.retain(|party| matches!(party, Party::Upstream(_)));
+            Fault::Cut(me, others, span)
+        }
+    }
+}
+
+/// Guards against a planned change of primary that leaves writes unknown or waiting.
+#[test]
+fn planned_leave() {
+    let outcome = runner(20).run(&any::<u64>(), |seed| {
+        let mut world = World::open(options(seed, Rule::Majority));
+        world.run_for(Duration::from_secs(2));
+        let leaving = world.primary();
+        prop_assert!(leaving.is_some(), "no first primary within 2 s");
+        let start = world.now;
+        world.inject(Fault::Leave(leaving.unwrap_or(0), Duration::from_secs(20)));
+        world.run_for(Duration::from_secs(3));
+        prop_assert_ne!(world.primary(), leaving);
+        let change = world.ledger.changes.last().copied();
+        let acked = change.and_then(|change| change.acked);
+        let gap = acked.map(|acked| acked.since(start));
+        prop_assert!(gap.is_some_and(|gap| gap <= GAP), "gap of {gap:?}");
+        prop_assert_eq!(world.ledger.refused(), 0);
+        settle_after(&mut world)
+    });
+    outcome.unwrap();
+}
--- a/chervildrift_core/src/group/mod.rs
+++ b/chervildrift_core/src/group/mod.rs
@@ -145,7 +145,8 @@
     /// Tells whether a write whose answer came at `since` is confirmed.
     ///
     /// Only status reads sent at or after `since` count, so that a process that was frozen reads
-    /// the terms again before it acknowledges.
+    /// the terms again before it acknowledges. An upstream fenced at a later term does not count:
+    /// it may hold the write, but its primary may already be replaced.
     #[must_use]
     pub fn check(&self, mark: Mark, since: Time) -> Confirmation {
         if mark.term < self.term {
@@ -235,9 +236,10 @@
     }
 }
 
-/// Tells whether a log with this status holds the write `mark` of the same term.
+/// Tells whether an upstream holds the write `mark` and serves its term.
 fn holds(status: &Status, mark: Mark) -> bool {
-    status.received.term == mark.term && status.received.position >= mark.position
+    let current = status.fenced == mark.term && status.received.term == mark.term;
+    current && status.received.position >= mark.position
 }
 
 /// Tells whether a status is that of the primary of `term`.
--- a/chervildrift_core/src/route/attempt.rs
+++ b/chervildrift_core/src/route/attempt.rs
@@ -130,7 +130,7 @@
         match view.check(mark, since) {
             Confirmation::Confirmed => Ok(Done::new(mark)),
             Confirmation::Waiting => Err(Sent::Waiting(self)),
-            Confirmation::Replaced => Err(Sent::Unknown(self.unknown())),
+            Confirmation::Replaced => Err(Sent::Replaced(self)),
         }
     }
 
--- a/chervildrift_core/src/route/failure.rs
+++ b/chervildrift_core/src/route/failure.rs
@@ -2,7 +2,7 @@
 
 use crate::types::Time;
 
-use super::{Answer, Attempt, Cause, MaybeSent, NotSent, Refused, Repeat, Unknown, Unsent};
+use super::{Answer, Attempt, Cause, MaybeSent, NotSent, Refused, Repeat, Unsent};
 
 /// How a try failed.
 #[derive(Debug)]
@@ -20,8 +20,8 @@
 pub enum Sent {
     /// A later status read may still confirm it.
     Waiting(Attempt<MaybeSent>),
-    /// It can't be confirmed any more.
-    Unknown(Unknown),
+    /// A later term has started, so only a repeat with the same key can settle it.
+    Replaced(Attempt<MaybeSent>),
 }
 
 /// What to do after a failed try.
--- a/chervildrift_core/tests/group.rs
+++ b/chervildrift_core/tests/group.rs
@@ -63,6 +63,18 @@
     assert_eq!(view.confirmed(), None);
 }
 
+/// Guards against an acknowledgement that rests on an upstream fenced for a successor.
+#[test]
+fn fenced_holder() {
+    let mut view = view();
+    observe(&mut view, 0, 0, primary(1, 9));
+    observe(&mut view, 1, 1, replica(2, 1, 9));
+    let mark = Mark::new(1, 9);
+    assert_eq!(view.check(mark, ms(0)), Confirmation::Waiting);
+    observe(&mut view, 2, 2, replica(1, 1, 9));
+    assert_eq!(view.check(mark, ms(0)), Confirmation::Confirmed);
+}
+
 /// Guards against a frozen process that takes answers from before its write for confirmation.
 #[test]
 fn frozen_reader() {
