Record the coordinators' inputs and replay them

Cause: a failover seen on a running VM could not be looked into afterwards. Ruled out: recording log lines only, since decisions depend on the times and order of all status reads.

--- a/chervildrift/src/cli/mod.rs
+++ b/chervildrift/src/cli/mod.rs
@@ -33,7 +33,7 @@
         /// Settings file.
         #[arg(long)]
         config: PathBuf,
-        /// File that records the inputs of the failover coordinators, for `replay`.
+        /// Folder for traces of the failover coordinators, which `replay` reads.
         #[arg(long)]
         record: Option<PathBuf>,
     },
--- a/chervildrift/src/replay/mod.rs
+++ b/chervildrift/src/replay/mod.rs
@@ -3,8 +3,15 @@
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
+use chervildrift_core::trace;
 use quick_error::quick_error;
 
+/// Exit code of a replay that differs from its trace.
+const FAILURE: u8 = 2;
+
+/// Differences that are printed.
+const MAX_SHOWN: usize = 10;
+
 quick_error! {
     /// Why a trace could not be replayed.
     #[derive(Debug)]
@@ -14,11 +21,32 @@
             display("{}: {}", path.display(), err)
             source(err)
         }
+        /// The trace is not valid.
+        Trace(path: PathBuf, err: trace::Error) {
+            display("{}: {}", path.display(), err)
+            source(err)
+        }
     }
 }
 
-/// Replays a trace and compares with its stated outcomes.
+/// Replays a trace and compares it with its stated outcomes.
 pub fn run(path: &Path) -> Result<ExitCode, Error> {
-    let _text = std::fs::read_to_string(path).map_err(|err| Error::File(path.to_owned(), err))?;
-    Ok(ExitCode::SUCCESS)
+    let text = std::fs::read_to_string(path).map_err(|err| Error::File(path.to_owned(), err))?;
+    let report = trace::replay(&text).map_err(|err| Error::Trace(path.to_owned(), err))?;
+    for difference in report.differences.iter().take(MAX_SHOWN) {
+        println!("{}:{}", path.display(), difference.line);
+        println!("  stated:   {}", difference.stated);
+        println!("  replayed: {}", difference.replayed);
+    }
+    println!(
+        "{} events, {} differences",
+        report.events,
+        report.differences.len()
+    );
+    let same = report.differences.is_empty();
+    Ok(if same {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::from(FAILURE)
+    })
 }
--- a/chervildrift/src/serve/group.rs
+++ b/chervildrift/src/serve/group.rs
@@ -6,8 +6,8 @@
 
 use chervildrift_core::config::GroupSpec;
 use chervildrift_core::failover::{self, Action, Actions, Coordinator, Event, Promoter};
-use chervildrift_core::group::{Confirmation, GroupView};
-use chervildrift_core::rng::Rng;
+use chervildrift_core::group::Confirmation;
+use chervildrift_core::trace::{self, Opened};
 use chervildrift_core::types::{GroupId, Mark, Term, Time, Upstream};
 use slog::{Logger, debug};
 use smallvec::SmallVec;
@@ -17,6 +17,7 @@
 use super::Input;
 use super::clock::Clock;
 use super::dispatcher::ReplyTo;
+use super::record::{Recorder, Recording};
 use crate::peer::Reply;
 use crate::peer::message::{GroupState, UpstreamState};
 use crate::upstream::{Control, Login, Vote};
@@ -49,6 +50,7 @@
     pub unconfirmed: Vec<Unconfirmed>,
     /// Primary at the last change.
     pub primary: Option<(usize, Term)>,
+    recording: Option<Recording>,
     controls: Vec<Arc<Control>>,
     reading: SmallVec<[bool; 3]>,
 }
@@ -67,15 +69,22 @@
     pub(super) fn open(
         id: GroupId,
         spec: &GroupSpec,
-        promoter: Promoter,
+        promoter: &Promoter,
         rank: u32,
         seed: u64,
         login: &Login,
+        recorder: Option<&Recorder>,
     ) -> Self {
         let names: Vec<Upstream> = spec.upstreams.iter().map(|it| it.name.clone()).collect();
-        let view = GroupView::open(&names);
-        let limits = failover::Limits::default();
-        let coordinator = Coordinator::open(view, promoter, rank, Rng::open(seed), limits);
+        let reading = SmallVec::from_elem(false, names.len());
+        let opened = Opened {
+            upstreams: names,
+            promoter: promoter.as_str().to_owned(),
+            rank,
+            seed,
+        };
+        let coordinator = trace::open(&opened);
+        let recording = recorder.and_then(|it| it.start(&id, opened));
         let control = |address| Arc::new(Control::open(address, login, CONTROL_LIMIT));
         Self {
             id,
@@ -88,7 +97,8 @@
                 .iter()
                 .map(|it| control(it.address))
                 .collect(),
-            reading: SmallVec::from_elem(false, names.len()),
+            reading,
+            recording,
         }
     }
 
@@ -107,6 +117,9 @@
             *reading = false;
         }
         let actions = self.coordinator.handle(now, event);
+        if let Some(recording) = &mut self.recording {
+            recording.step(now, &event, &actions);
+        }
         self.start(actions, outside)
     }
 
--- a/chervildrift/src/serve/mod.rs
+++ b/chervildrift/src/serve/mod.rs
@@ -9,6 +9,7 @@
 mod group;
 mod node;
 mod observe;
+mod record;
 mod serving;
 mod start;
 mod stop;
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -20,6 +20,7 @@
 use super::dispatcher::Dispatcher;
 use super::entry::Entry;
 use super::group::Group;
+use super::record::Recorder;
 use super::{Input, Shared};
 use crate::peer::message::GroupState;
 use crate::platform::Platform;
@@ -50,6 +51,8 @@
     pub entry: Entry,
     /// Identity of this process in fences and promotions.
     pub promoter: Promoter,
+    /// Writes traces of the coordinators, if told to.
+    pub recorder: Option<Recorder>,
     /// Upstreams that the platform lists as leaving.
     pub leaving: HashSet<Upstream>,
     /// Time of the next read of the platform's list.
@@ -230,7 +233,16 @@
         let rank = self.candidate_rank(id);
         let seed = self.rng.next();
         let login = self.login();
-        let group = Group::open(id.clone(), spec, self.promoter.clone(), rank, seed, &login);
+        let recorder = self.recorder.as_ref();
+        let group = Group::open(
+            id.clone(),
+            spec,
+            &self.promoter,
+            rank,
+            seed,
+            &login,
+            recorder,
+        );
         self.groups.insert(id.clone(), group);
     }
 
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -25,6 +25,7 @@
 use super::clock::Clock;
 use super::entry::Entry;
 use super::node::Node;
+use super::record::Recorder;
 use super::{Error, Input, Shared, TICK};
 use crate::gossip;
 use crate::http::{self, CallersHandle, Credentials, OperatorsHandle, Probe};
@@ -113,7 +114,7 @@
 }
 
 /// Starts a VM.
-pub fn spawn(settings: Settings, _record: Option<&Path>, log: Logger) -> Result<Handle, Error> {
+pub fn spawn(settings: Settings, record: Option<&Path>, log: Logger) -> Result<Handle, Error> {
     let clock = Clock::open();
     let io = Builder::new_multi_thread()
         .worker_threads(IO_THREADS)
@@ -168,6 +169,7 @@
         leaving: HashSet::new(),
         list_at: Time::default(),
         promoter: Promoter::new(&settings.vm, boot),
+        recorder: record.map(Recorder::open),
         stopping: false,
         number: 0,
         settings: settings.clone(),
--- a/chervildrift_core/src/failover/event.rs
+++ b/chervildrift_core/src/failover/event.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 use crate::types::{Mark, Status, Term, Time, Vm};
@@ -24,6 +25,12 @@
         Self(format!("{vm}/{start:016x}").into())
     }
 
+    /// Takes an identity back from its text, to replay a trace.
+    #[must_use]
+    pub fn recall(text: &str) -> Self {
+        Self(text.into())
+    }
+
     /// Returns the identity as text.
     #[must_use]
     pub fn as_str(&self) -> &str {
@@ -32,7 +39,7 @@
 }
 
 /// Answer of an upstream to a fence or a promotion.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     /// The upstream took it; its log ended at `received` after it did.
     Granted {
@@ -47,7 +54,7 @@
 }
 
 /// What a coordinator is told.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Serialize, Deserialize, PartialEq)]
 pub enum Event {
     /// A status read ended; `None` stands for no answer.
     Observed {
@@ -93,7 +100,7 @@
 }
 
 /// What a coordinator wants done.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Action {
     /// Read the status of an upstream.
     ReadStatus {
--- a/chervildrift_core/src/trace/mod.rs
+++ b/chervildrift_core/src/trace/mod.rs
@@ -1,1 +1,95 @@
 //! Recorded events and their replay.
+//!
+//! A trace holds what the coordinator of one group was told and what it decided, one JSON object a
+//! line: first how it was opened, then each event with the actions that followed. The coordinator
+//! has no clock and no other input, so a replay must come to the same actions; a difference shows
+//! that a decision has changed. A trace may end with the outcome that is expected of the run.
+
+mod error;
+mod line;
+
+use crate::failover::{Actions, Coordinator, Event, Limits, Promoter};
+use crate::group::GroupView;
+use crate::rng::Rng;
+use crate::types::Time;
+
+pub use self::error::Error;
+pub use self::line::{Line, Opened, Outcome, Step};
+
+/// Difference between a trace and its replay.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Difference {
+    /// Line of the trace, counted from 1.
+    pub line: usize,
+    /// What the trace states.
+    pub stated: String,
+    /// What the replay came to.
+    pub replayed: String,
+}
+
+/// Result of a replay.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Report {
+    /// Events that were replayed.
+    pub events: usize,
+    /// Lines on which the replay differs, in order.
+    pub differences: Vec<Difference>,
+}
+
+/// Opens the coordinator that a trace was recorded of.
+#[must_use]
+pub fn open(opened: &Opened) -> Coordinator {
+    let view = GroupView::open(&opened.upstreams);
+    let promoter = Promoter::recall(&opened.promoter);
+    let rng = Rng::open(opened.seed);
+    Coordinator::open(view, promoter, opened.rank, rng, Limits::default())
+}
+
+/// Returns the line of one event, without its line break.
+pub fn record(at: Time, event: &Event, actions: &Actions) -> Result<String, Error> {
+    let step = Step {
+        at,
+        event: *event,
+        actions: actions.to_vec(),
+    };
+    Ok(serde_json::to_string(&Line::Step(step))?)
+}
+
+/// Replays a trace and compares it with what it states.
+pub fn replay(text: &str) -> Result<Report, Error> {
+    let mut report = Report::default();
+    let mut coordinator = None;
+    for (index, text) in text.lines().enumerate() {
+        let line = index + 1;
+        match serde_json::from_str(text).map_err(|err| Error::Line(line, err))? {
+            Line::Opened(opened) => coordinator = Some(open(&opened)),
+            Line::Step(step) => {
+                let coordinator = coordinator.as_mut().ok_or(Error::Unopened)?;
+                let actions = coordinator.handle(step.at, step.event);
+                report.events += 1;
+                compare(&mut report, line, &step.actions, &actions.to_vec());
+            }
+            Line::Outcome(outcome) => {
+                let coordinator = coordinator.as_ref().ok_or(Error::Unopened)?;
+                let view = coordinator.view();
+                let reached = Outcome {
+                    primary: view.primary(),
+                    term: view.term(),
+                };
+                compare(&mut report, line, &outcome, &reached);
+            }
+        }
+    }
+    Ok(report)
+}
+
+fn compare<T: std::fmt::Debug + PartialEq>(report: &mut Report, line: usize, stated: &T, got: &T) {
+    if stated != got {
+        let (stated, replayed) = (format!("{stated:?}"), format!("{got:?}"));
+        report.differences.push(Difference {
+            line,
+            stated,
+            replayed,
+        });
+    }
+}
