Spread busy peer links over several threads

Change: Limits::threads peer threads; a peer's calls stay on its home thread and one connection until that thread has 64 calls in flight, then they also use the next thread. The first thread accepts and hands connections out in turn.

--- a/chervildrift/benches/peer_forward.rs
+++ b/chervildrift/benches/peer_forward.rs
@@ -1,7 +1,8 @@
 //! Measures forwarded requests per second between two processes.
 //!
 //! The program starts itself a second time as the serving process. Arguments: `--seconds N`,
-//! `--callers N` (calls in flight), `--threads N` (runtime threads of the callers).
+//! `--callers N` (calls in flight), `--threads N` (runtime threads of the callers),
+//! `--peer-threads N` (threads for the links).
 
 use std::io::{BufRead as _, BufReader};
 use std::net::SocketAddr;
@@ -52,7 +53,10 @@
         address: SocketAddr::from(([127, 0, 0, 1], 0)),
         name: Vm::from(name),
         key: FleetKey::open(b"a fleet key for measurements")?,
-        limits: Limits::default(),
+        limits: Limits {
+            threads: number("--peer-threads", Limits::default().threads),
+            ..Limits::default()
+        },
     };
     Ok((peer::bind(options, sender)?, inbound))
 }
@@ -109,6 +113,7 @@
 fn start() -> Result<(Child, SocketAddr), Failure> {
     let mut child = Command::new(std::env::current_exe()?)
         .arg(SERVE)
+        .args(std::env::args().skip(1))
         .stdout(Stdio::piped())
         .spawn()?;
     let output = child.stdout.take().ok_or("no output")?;
--- a/chervildrift/src/peer/context.rs
+++ b/chervildrift/src/peer/context.rs
@@ -10,6 +10,19 @@
 use super::message::Inbound;
 use super::options::Limits;
 
+/// What a peer thread starts with.
+#[derive(Clone, Debug)]
+pub struct Seed {
+    /// Identity of this VM for hellos.
+    pub identity: Identity,
+    /// Limits of links and connections.
+    pub limits: Limits,
+    /// Channel to the event loop.
+    pub inbound: mpsc::Sender<Inbound>,
+    /// Counters.
+    pub counts: Arc<Counts>,
+}
+
 /// State shared by the links and inbound connections of one peer thread.
 #[derive(Debug)]
 pub struct Context {
@@ -26,3 +39,17 @@
     /// Turns true when the inbound connections are to end; each holds a receiver.
     pub closing: watch::Sender<bool>,
 }
+
+impl Context {
+    /// Opens the state of one thread.
+    pub fn open(seed: Seed) -> Self {
+        Self {
+            identity: seed.identity,
+            limits: seed.limits,
+            inbound: seed.inbound,
+            counts: seed.counts,
+            stopping: Cell::new(false),
+            closing: watch::channel(false).0,
+        }
+    }
+}
--- a/chervildrift/src/peer/handle.rs
+++ b/chervildrift/src/peer/handle.rs
@@ -1,4 +1,4 @@
-//! Handle of the peer thread, for any thread.
+//! Handle of the peer threads, for any thread.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -11,6 +11,7 @@
 use super::call::{Answer, Call, Order};
 use super::connection::CONTENT_BYTES;
 use super::counts::Counts;
+use super::lanes::{self, Lane};
 use super::message::{GroupState, Handover, Pong, Reply, Request, Step};
 use super::thread::Command;
 
@@ -20,19 +21,15 @@
 #[derive(Clone, Debug)]
 pub struct Handle {
     address: SocketAddr,
-    commands: mpsc::Sender<Command>,
+    lanes: Arc<[Lane]>,
     counts: Arc<Counts>,
 }
 
 impl Handle {
-    pub(super) const fn open(
-        address: SocketAddr,
-        commands: mpsc::Sender<Command>,
-        counts: Arc<Counts>,
-    ) -> Self {
+    pub(super) fn open(address: SocketAddr, lanes: Arc<[Lane]>, counts: Arc<Counts>) -> Self {
         Self {
             address,
-            commands,
+            lanes,
             counts,
         }
     }
@@ -139,25 +136,23 @@
 
     /// Stops: takes no further calls, waits for those in flight up to `grace`, and closes.
     pub async fn stop(&self, grace: Duration) {
-        let (done, stopped) = oneshot::channel();
-        let command = Command::Stop { grace, done };
-        if self.commands.send(command).await.is_ok() {
-            // An error means that the thread has ended.
-            let _ = stopped.await;
-        }
+        let stops = self.lanes.iter().map(|lane| stop(lane, grace));
+        futures::future::join_all(stops).await;
     }
 
     async fn call(&self, peer: SocketAddr, call: Call, deadline: Instant) -> Result<Answer, Error> {
         if call.bytes() > CONTENT_BYTES {
             return Err(Error::Oversized);
         }
+        let lane = lanes::choose(&self.lanes, peer).ok_or(Error::Stopped { sent: false })?;
+        let _flight = lane.enter();
         let (reply, answer) = oneshot::channel();
         let order = Order {
             call,
             deadline: deadline.into(),
             reply,
         };
-        self.commands
+        lane.commands
             .try_send(Command::Call { peer, order })
             .map_err(|error| match error {
                 mpsc::error::TrySendError::Full(_) => Error::Busy,
@@ -169,6 +164,20 @@
     }
 }
 
+/// Stops one thread.
+async fn stop(lane: &Lane, grace: Duration) {
+    let (done, stopped) = oneshot::channel();
+    if lane
+        .commands
+        .send(Command::Stop { grace, done })
+        .await
+        .is_ok()
+    {
+        // An error means that the thread has ended.
+        let _ = stopped.await;
+    }
+}
+
 fn mismatch() -> Error {
     Error::Failed("the answer belongs to another call".into())
 }
--- a/chervildrift/src/peer/mod.rs
+++ b/chervildrift/src/peer/mod.rs
@@ -1,6 +1,9 @@
 //! Links between the VMs of a fleet: Cap'n Proto RPC over TCP.
 //!
-//! All connections live on one thread, since RPC objects are bound to the thread that made them.
+//! RPC objects are bound to the thread that made them, so connections live on a few threads of
+//! their own. A link is one connection to one peer; a peer has a second link only when the thread
+//! of the first one is busy.
+//!
 //! The rest of the program holds a [`Handle`] and receives the calls of other VMs as [`Inbound`].
 
 mod call;
@@ -12,6 +15,7 @@
 mod handle;
 mod hello;
 mod key;
+mod lanes;
 mod link;
 mod listener;
 pub mod message;
@@ -38,43 +42,53 @@
 mod transmit;
 mod watch;
 
-use std::cell::Cell;
 use std::net::TcpListener;
 use std::sync::Arc;
 
 use tokio::sync::mpsc;
 
-use self::context::Context;
+use self::context::Seed;
 pub use self::counts::{Count, Counts};
 pub use self::error::Error;
 pub use self::handle::Handle;
 use self::hello::Identity;
 pub use self::key::FleetKey;
+use self::lanes::Lane;
 pub use self::message::{Inbound, Reply, Request, State};
 pub use self::options::{Limits, Options};
+use self::thread::Door;
 
-/// Calls that wait for the peer thread.
+/// Calls that wait for a peer thread.
 const COMMANDS: usize = 16_384;
 
-/// Binds the listener and starts the peer thread; calls of peers arrive on `inbound`.
+/// Binds the listener and starts the peer threads; calls of peers arrive on `inbound`.
 pub fn bind(options: Options, inbound: mpsc::Sender<Inbound>) -> Result<Handle, Error> {
-    let identity = Identity::open(&options.key, options.name, options.limits.version)?;
     let listener = TcpListener::bind(options.address).map_err(bind_error)?;
     listener.set_nonblocking(true).map_err(bind_error)?;
     let address = listener.local_addr().map_err(bind_error)?;
-    let counts = Arc::new(Counts::default());
-    let (sender, commands) = mpsc::channel(COMMANDS);
-    let shared = Arc::clone(&counts);
-    let make = move || Context {
-        identity,
+    let seed = Seed {
+        identity: Identity::open(&options.key, options.name, options.limits.version)?,
         limits: options.limits,
         inbound,
-        counts: shared,
-        stopping: Cell::new(false),
-        closing: tokio::sync::watch::channel(false).0,
+        counts: Arc::default(),
     };
-    thread::spawn(make, listener, commands).map_err(bind_error)?;
-    Ok(Handle::open(address, sender, counts))
+    let counts = Arc::clone(&seed.counts);
+    let lanes = spawn(&seed, listener).map_err(bind_error)?;
+    Ok(Handle::open(address, lanes, counts))
+}
+
+/// Starts the threads; the first one listens.
+fn spawn(seed: &Seed, listener: TcpListener) -> std::io::Result<Arc<[Lane]>> {
+    let channels = (0..seed.limits.threads.max(1)).map(|_| mpsc::channel(COMMANDS));
+    let (senders, receivers): (Vec<_>, Vec<_>) = channels.unzip();
+    let mut door = Some(Door {
+        listener,
+        threads: senders.iter().map(mpsc::Sender::downgrade).collect(),
+    });
+    for commands in receivers {
+        thread::spawn(seed.clone(), door.take(), commands)?;
+    }
+    Ok(senders.into_iter().map(Lane::open).collect())
 }
 
 #[expect(
--- a/chervildrift/src/peer/options.rs
+++ b/chervildrift/src/peer/options.rs
@@ -23,6 +23,8 @@
 /// Limits of links and connections.
 #[derive(Clone, Debug)]
 pub struct Limits {
+    /// Threads that share the links.
+    pub threads: usize,
     /// Calls in flight on one link.
     pub calls: usize,
     /// Time for the connection and the hello of an outgoing link.
@@ -37,7 +39,7 @@
     pub silence: Duration,
     /// Time for the hello of an inbound connection.
     pub hello: Duration,
-    /// Inbound connections without a completed hello.
+    /// Inbound connections of one thread without a completed hello.
     pub half_open: usize,
     /// Version that this VM states in its hello.
     pub version: u32,
@@ -46,6 +48,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
+            threads: 2,
             calls: 4096,
             opening: Duration::from_millis(600),
             refusal: Duration::from_millis(100),
--- a/chervildrift/src/peer/thread.rs
+++ b/chervildrift/src/peer/thread.rs
@@ -1,4 +1,4 @@
-//! The peer thread: owns all connections to and from peers.
+//! A peer thread: owns connections to and from peers.
 
 use std::collections::HashMap;
 use std::io;
@@ -6,14 +6,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 use tokio::task::{JoinSet, LocalSet, spawn_local};
 use tokio::time::{sleep, timeout};
 
 use super::Error;
 use super::call::Order;
-use super::context::Context;
+use super::context::{Context, Seed};
 use super::link;
 use super::listener::Listener;
 
@@ -29,6 +29,8 @@
 pub enum Command {
     /// Makes a call to a peer.
     Call { peer: SocketAddr, order: Order },
+    /// Serves an inbound connection.
+    Serve(std::net::TcpStream),
     /// Stops once the calls in flight are answered, at the latest after the grace time.
     Stop {
         grace: Duration,
@@ -39,38 +41,61 @@
 /// State of the peer thread.
 struct Peers {
     context: Rc<Context>,
+    listener: Listener,
     links: HashMap<SocketAddr, mpsc::Sender<Order>>,
     tasks: JoinSet<()>,
 }
 
-/// Admits inbound connections.
-async fn accept(listener: TcpListener, door: Listener) {
+/// Accepts inbound connections and passes them to the threads in turn.
+///
+/// The senders are weak, since the threads end with the last handle.
+async fn accept(listener: TcpListener, threads: Vec<mpsc::WeakSender<Command>>) {
+    let mut next = threads.iter().cycle();
     loop {
         match listener.accept().await {
-            Ok((socket, _)) => door.admit(socket),
+            Ok((socket, _)) => pass(socket, next.next()),
             Err(_) => sleep(ACCEPT_PAUSE).await,
         }
     }
 }
 
+/// Passes a connection to a thread; without room for it, it is closed.
+fn pass(socket: TcpStream, thread: Option<&mpsc::WeakSender<Command>>) {
+    let thread = thread.and_then(mpsc::WeakSender::upgrade);
+    if let (Some(thread), Ok(socket)) = (thread, socket.into_std()) {
+        let _ = thread.try_send(Command::Serve(socket));
+    }
+}
+
+/// Socket that a thread listens on, and the threads that serve its connections.
+#[derive(Debug)]
+pub struct Door {
+    /// Listening socket.
+    pub listener: std::net::TcpListener,
+    /// Commands to all threads.
+    pub threads: Vec<mpsc::WeakSender<Command>>,
+}
+
+/// Accepts connections if this is the thread that listens.
+async fn listen(door: Option<Door>) {
+    let Some(door) = door else {
+        return;
+    };
+    if let Ok(listener) = TcpListener::from_std(door.listener) {
+        accept(listener, door.threads).await;
+    }
+}
+
 /// Starts the thread.
-pub fn spawn(
-    make: impl FnOnce() -> Context + Send + 'static,
-    listener: std::net::TcpListener,
-    commands: mpsc::Receiver<Command>,
-) -> io::Result<()> {
+pub fn spawn(seed: Seed, door: Option<Door>, commands: mpsc::Receiver<Command>) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    let listener = {
-        let _guard = runtime.enter();
-        TcpListener::from_std(listener)?
-    };
     std::thread::Builder::new()
         .name("peer".into())
         .spawn(move || {
-            let peers = Peers::open(Rc::new(make()));
-            LocalSet::new().block_on(&runtime, peers.run(listener, commands));
+            let peers = Peers::open(Rc::new(Context::open(seed)));
+            LocalSet::new().block_on(&runtime, peers.run(door, commands));
         })?;
     Ok(())
 }
@@ -78,6 +103,7 @@
 impl Peers {
     fn open(context: Rc<Context>) -> Self {
         Self {
+            listener: Listener::open(&context),
             context,
             links: HashMap::new(),
             tasks: JoinSet::new(),
@@ -85,8 +111,8 @@
     }
 
     /// Runs until a stop is asked for or all handles are dropped.
-    async fn run(mut self, listener: TcpListener, mut commands: mpsc::Receiver<Command>) {
-        let accepting = spawn_local(accept(listener, Listener::open(&self.context)));
+    async fn run(mut self, door: Option<Door>, mut commands: mpsc::Receiver<Command>) {
+        let accepting = spawn_local(listen(door));
         let mut batch = Vec::with_capacity(BATCH);
         loop {
             tokio::select! {
@@ -113,12 +139,20 @@
                     order.fail(&Error::Stopped { sent: false });
                 }
                 Command::Call { peer, order } => self.call(peer, order),
+                Command::Serve(socket) => self.serve(socket),
                 Command::Stop { grace, done } => stop = Some((grace, done)),
             }
         }
         stop
     }
 
+    /// Admits a connection, unless it can no longer be used.
+    fn serve(&self, socket: std::net::TcpStream) {
+        if let Ok(socket) = TcpStream::from_std(socket) {
+            self.listener.admit(socket);
+        }
+    }
+
     /// Passes a call to the link of its peer, which is made if there is none.
     fn call(&mut self, peer: SocketAddr, order: Order) {
         let Some(link) = self.links.get(&peer) else {
@@ -172,6 +206,7 @@
         while let Some(command) = commands.recv().await {
             match command {
                 Command::Call { order, .. } => order.fail(&Error::Stopped { sent: false }),
+                Command::Serve(socket) => drop(socket),
                 Command::Stop { done, .. } => waiting.push(done),
             }
         }
