End work at upstreams that are silent or replaced

Cause: a write in flight at a frozen primary held its caller until the deadline, although the group had a new primary after 0.8 s. Seen in primary_change: no write was confirmed for 4.5 s after the freeze. Ruled out: a shorter time limit for every statement, since a slow statement would then be cut at a healthy upstream; and a slow promotion, since the coordinators had promoted another upstream within 0.8 s. Change: when the primary changes, running writes at the others are aborted and repeated under their key; when an upstream has not answered a status read for 600 ms, all work there is aborted and it is offered no new work.

--- a/chervildrift/src/cli/check.rs
+++ b/chervildrift/src/cli/check.rs
@@ -32,9 +32,9 @@
         let text = std::fs::read_to_string(path).map_err(|err| Error::File(path.clone(), err))?;
         if let Err(findings) = chervildrift_core::config::check_settings(&text) {
             mistakes += findings.len();
-            findings
-                .iter()
-                .for_each(|finding| println!("{}:{finding}", path.display()));
+            for finding in &findings {
+                println!("{}:{finding}", path.display());
+            }
         }
     }
     let collected = collect(&options.paths)?;
--- a/chervildrift/src/serve/dispatcher.rs
+++ b/chervildrift/src/serve/dispatcher.rs
@@ -13,6 +13,7 @@
 use crate::peer::{Reply, State};
 use crate::upstream::{Login, Pool};
 use crate::work::Reason;
+use tokio::task::AbortHandle;
 
 /// Connections of an upstream that are kept for status reads and orders of all candidates.
 const CONTROL_CONNECTIONS: usize = 6;
@@ -42,6 +43,8 @@
     pub task: Option<Task>,
     /// Time at which the work was handed to the upstream.
     pub sent: Time,
+    /// Ends work that runs at the upstream.
+    pub running: Option<AbortHandle>,
     #[debug("..")]
     pub reply: ReplyTo,
 }
@@ -149,10 +152,10 @@
 /// Running statements need a connection for each slot; what is left is divided by rank.
 fn limits(spec: &UpstreamSpec) -> Limits {
     let spare = connections(spec).saturating_sub(usize::from(spec.slots));
-    let share = |parts: usize| (spare * parts / 10).max(1);
+    let tenths = |parts: usize| (spare * parts / 10).max(1);
     Limits {
         idle: TRANSACTION_IDLE,
-        held: [share(5), share(3), share(2)],
+        held: [tenths(5), tenths(3), tenths(2)],
     }
 }
 
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -158,7 +158,7 @@
         self.shared
             .metrics
             .generation
-            .set(version.generation as i64);
+            .set(version.generation.cast_signed());
         let actions = self
             .membership
             .handle(now, membership::Event::Version(version));
@@ -169,9 +169,11 @@
     fn read_head(&self) {
         let (platform, inputs) = (self.platform.clone(), self.inputs.clone());
         self.io.spawn(async move {
-            let read = platform.read::<Head>(HEAD_TABLE, HEAD_KEY).await;
-            let head = read.ok().map(|row| row.map(|row| row.value));
-            let _ended = inputs.send(Input::Head(head));
+            let event = match platform.read::<Head>(HEAD_TABLE, HEAD_KEY).await {
+                Ok(row) => generation::Event::Head(row.map(|row| row.value)),
+                Err(_err) => generation::Event::HeadFailed,
+            };
+            let _ended = inputs.send(Input::Head(event));
         });
     }
 
@@ -201,9 +203,8 @@
     }
 
     /// Takes the platform's head record.
-    pub(super) fn take_head(&mut self, head: Option<Option<Head>>) {
+    pub(super) fn take_head(&mut self, event: generation::Event) {
         let now = self.clock.now();
-        let event = head.map_or(generation::Event::HeadFailed, generation::Event::Head);
         let actions = self.generations.handle(now, event);
         self.configure(now, actions);
     }
--- a/chervildrift/src/serve/group.rs
+++ b/chervildrift/src/serve/group.rs
@@ -6,7 +6,7 @@
 
 use chervildrift_core::config::GroupSpec;
 use chervildrift_core::failover::{self, Action, Actions, Coordinator, Event, Promoter};
-use chervildrift_core::group::Confirmation;
+use chervildrift_core::group::{Confirmation, Seen};
 use chervildrift_core::trace::{self, Opened};
 use chervildrift_core::types::{GroupId, Mark, Term, Time, Upstream};
 use slog::{Logger, debug};
@@ -28,6 +28,9 @@
 /// Pause between two reads for a write that a slow replica has not received yet.
 const CONFIRM_PAUSE: Duration = Duration::from_millis(2);
 
+/// Time without an answer to a status read after which an upstream takes no work.
+const SILENCE: Duration = Duration::from_millis(600);
+
 /// A write that waits until a majority is seen to have received it.
 #[derive(derive_more::Debug)]
 pub(super) struct Unconfirmed {
@@ -51,10 +54,20 @@
     /// Primary at the last change.
     pub primary: Option<(usize, Term)>,
     recording: Option<Recording>,
+    /// Time at which this VM began to observe the group.
+    opened: Time,
     controls: Vec<Arc<Control>>,
     reading: SmallVec<[bool; 3]>,
 }
 
+/// This VM as a candidate for the coordination of a group.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Candidate<'a> {
+    pub promoter: &'a Promoter,
+    pub rank: u32,
+    pub seed: u64,
+}
+
 /// What an action needs to run outside the event loop.
 #[derive(Debug)]
 pub(super) struct Outside<'a> {
@@ -67,11 +80,10 @@
 impl Group {
     /// Opens the observer of a group.
     pub(super) fn open(
+        now: Time,
         id: GroupId,
         spec: &GroupSpec,
-        promoter: &Promoter,
-        rank: u32,
-        seed: u64,
+        candidate: &Candidate<'_>,
         login: &Login,
         recorder: Option<&Recorder>,
     ) -> Self {
@@ -79,9 +91,9 @@
         let reading = SmallVec::from_elem(false, names.len());
         let opened = Opened {
             upstreams: names,
-            promoter: promoter.as_str().to_owned(),
-            rank,
-            seed,
+            promoter: candidate.promoter.as_str().to_owned(),
+            rank: candidate.rank,
+            seed: candidate.seed,
         };
         let coordinator = trace::open(&opened);
         let recording = recorder.and_then(|it| it.start(&id, opened));
@@ -92,6 +104,7 @@
             coordinator,
             unconfirmed: Vec::new(),
             primary: None,
+            opened: now,
             controls: spec
                 .upstreams
                 .iter()
@@ -284,6 +297,13 @@
         current
     }
 
+    /// Tells whether an upstream has not answered for so long that waiting for it is pointless.
+    pub(super) fn is_silent(&self, now: Time, index: usize) -> bool {
+        let seen = self.coordinator.view().seen(index);
+        let answered = seen.and_then(Seen::answered).unwrap_or(self.opened);
+        now.since(answered) > SILENCE
+    }
+
     /// Returns the state that replies carry to the entries.
     pub(super) fn state(&self, now: Time) -> GroupState {
         let view = self.coordinator.view();
@@ -292,7 +312,10 @@
             UpstreamState {
                 received: status.map(|it| it.received).unwrap_or_default(),
                 applied: status.map(|it| it.applied).unwrap_or_default(),
-                age: view.age(now, index),
+                // An upstream without an age takes no new work.
+                age: view
+                    .age(now, index)
+                    .filter(|_age| !self.is_silent(now, index)),
                 load: Default::default(),
             }
         };
--- a/chervildrift/src/serve/mod.rs
+++ b/chervildrift/src/serve/mod.rs
@@ -21,7 +21,7 @@
 
 use chervildrift_core::dispatch::JobId;
 use chervildrift_core::failover::Event;
-use chervildrift_core::generation::{BundleHash, Head};
+use chervildrift_core::generation::{self, BundleHash};
 use chervildrift_core::membership::{Message, Seed};
 use chervildrift_core::types::{GroupId, Time, Upstream};
 use tokio::sync::oneshot;
@@ -58,13 +58,13 @@
     Group(GroupId, Event),
     /// A membership message.
     Datagram(std::net::SocketAddr, Message),
-    /// The platform's head record; none when it could not be read.
-    Head(Option<Option<Head>>),
+    /// The end of a read of the platform's head record.
+    Head(generation::Event),
     /// A bundle by its hash; none when it could not be had.
     Body(BundleHash, Option<Vec<u8>>),
     /// The platform's list of VMs: seeds, and names that are leaving.
     Listed(Vec<Seed>, Vec<String>),
-    /// The operators' report of a burn delta is stored or merged.
+    /// A planned stop; the answer tells whether all work had ended.
     Stop(oneshot::Sender<bool>),
 }
 
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -19,8 +19,9 @@
 use super::clock::Clock;
 use super::dispatcher::Dispatcher;
 use super::entry::Entry;
-use super::group::Group;
+use super::group::{Candidate, Group};
 use super::record::Recorder;
+use super::serving::confirm;
 use super::{Input, Shared};
 use crate::peer::message::GroupState;
 use crate::platform::Platform;
@@ -152,7 +153,7 @@
         let confirmed = group.confirmations(now);
         group.seek_confirmation(now, &outside);
         for (outcome, write) in confirmed {
-            self.confirm(outcome, write);
+            confirm(outcome, write);
         }
         for order in orders {
             self.gate(now, id, order == Action::Hold);
@@ -160,6 +161,7 @@
         if let Some((index, term)) = changed {
             info!(self.log, "primary changed"; "group" => %id, "index" => index, "term" => %term);
             self.open_ramp(now, id, index);
+            self.abort_replaced(id, index);
         }
     }
 
@@ -184,6 +186,37 @@
         }
     }
 
+    /// Ends the writes at upstreams that are not the primary any more.
+    fn abort_replaced(&mut self, id: &GroupId, primary: usize) {
+        let replaced = |it: &&Dispatcher| it.group == *id && it.index != primary;
+        let names: Vec<Upstream> = self
+            .dispatchers
+            .values()
+            .filter(replaced)
+            .map(|it| it.spec.name.clone())
+            .collect();
+        for name in &names {
+            self.abort_running(name, false);
+        }
+    }
+
+    /// Ends the work at upstreams that no longer answer.
+    fn abort_silent(&mut self, now: Time) {
+        let silent = |it: &&Dispatcher| {
+            let group = self.groups.get(&it.group);
+            group.is_some_and(|group| group.is_silent(now, it.index))
+        };
+        let names: Vec<Upstream> = self
+            .dispatchers
+            .values()
+            .filter(silent)
+            .map(|it| it.spec.name.clone())
+            .collect();
+        for name in &names {
+            self.abort_running(name, true);
+        }
+    }
+
     /// Passes time to everything that waits for it.
     pub(super) fn tick(&mut self) {
         let now = self.clock.now();
@@ -191,6 +224,7 @@
         for id in &groups {
             self.group_event(id, Event::Tick);
         }
+        self.abort_silent(now);
         self.expire_transactions(now);
         let names: Vec<Upstream> = self.dispatchers.keys().cloned().collect();
         for name in &names {
@@ -230,19 +264,17 @@
         if self.groups.contains_key(id) {
             return;
         }
+        let now = self.clock.now();
         let rank = self.candidate_rank(id);
         let seed = self.rng.next();
         let login = self.login();
         let recorder = self.recorder.as_ref();
-        let group = Group::open(
-            id.clone(),
-            spec,
-            &self.promoter,
+        let candidate = Candidate {
+            promoter: &self.promoter,
             rank,
             seed,
-            &login,
-            recorder,
-        );
+        };
+        let group = Group::open(now, id.clone(), spec, &candidate, &login, recorder);
         self.groups.insert(id.clone(), group);
     }
 
--- a/chervildrift/src/serve/serving.rs
+++ b/chervildrift/src/serve/serving.rs
@@ -42,6 +42,7 @@
                     deadline,
                     task: Some(task),
                     sent,
+                    running: None,
                     reply,
                 };
                 self.submit(now, &name, job);
@@ -187,10 +188,11 @@
             let limit = job.deadline.since(now);
             let (pool, inputs) = (dispatcher.pool.clone(), self.inputs.clone());
             let name = name.clone();
-            self.io.spawn(async move {
+            let running = self.io.spawn(async move {
                 let ran = run(task, pool, limit).await;
                 let _ended = inputs.send(Input::Ran(name, id, Box::new(ran)));
             });
+            job.running = Some(running.abort_handle());
         }
         for id in dispatcher.scheduler.expire(now) {
             self.expire_job(now, name, id);
@@ -213,8 +215,9 @@
         let Some(dispatcher) = self.dispatchers.get_mut(name) else {
             return;
         };
-        dispatcher.scheduler.finish(now, id, finish(&ran));
+        // A job that was aborted has been answered already.
         if let Some(job) = dispatcher.jobs.remove(&id) {
+            dispatcher.scheduler.finish(now, id, finish(&ran));
             self.conclude(now, name, job, ran);
         }
         self.pump(now, name);
@@ -298,6 +301,43 @@
         }
     }
 
+    /// Ends the work that runs at an upstream which no longer answers or no longer is the primary.
+    ///
+    /// Its connections close. A write may have been committed, which its key settles; a read goes
+    /// elsewhere.
+    pub(super) fn abort_running(&mut self, name: &Upstream, reads: bool) {
+        let now = self.clock.now();
+        let Some(dispatcher) = self.dispatchers.get_mut(name) else {
+            return;
+        };
+        let wanted = |job: &Job| job.running.is_some() && (reads || !is_read(job));
+        let ids: Vec<JobId> = dispatcher
+            .jobs
+            .iter()
+            .filter(|(_, job)| wanted(job))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            let Some(dispatcher) = self.dispatchers.get_mut(name) else {
+                return;
+            };
+            let Some(job) = dispatcher.jobs.remove(&id) else {
+                continue;
+            };
+            if let Some(running) = &job.running {
+                running.abort();
+            }
+            dispatcher.scheduler.finish(now, id, Finish::Failed);
+            self.end_transaction(name, &job);
+            let state = if is_read(&job) {
+                not_run(Reason::NoConnection)
+            } else {
+                State::Unknown
+            };
+            self.answer(job.reply, state, Some(name));
+        }
+    }
+
     /// Keeps a committed write until a majority of the group has received it.
     fn await_confirmation(&mut self, now: Time, name: &Upstream, job: Job, written: Written) {
         let state = if written.cancelled {
@@ -327,19 +367,6 @@
         group.seek_confirmation(now, &outside);
     }
 
-    /// Answers a write whose wait for confirmation is over.
-    pub(super) fn confirm(&self, outcome: Confirmation, write: Unconfirmed) {
-        let Unconfirmed {
-            mut success, reply, ..
-        } = write;
-        if outcome != Confirmation::Confirmed {
-            success.state = State::Unknown;
-            success.answer = Vec::new();
-            success.mark = None;
-        }
-        reply(success);
-    }
-
     fn end_transaction(&mut self, name: &Upstream, job: &Job) {
         if let (Some(dispatcher), Some(_)) = (self.dispatchers.get_mut(name), job.step) {
             end(dispatcher, &job.request);
@@ -378,6 +405,19 @@
     }
 }
 
+/// Answers a write whose wait for confirmation is over.
+pub(super) fn confirm(outcome: Confirmation, write: Unconfirmed) {
+    let Unconfirmed {
+        mut success, reply, ..
+    } = write;
+    if outcome != Confirmation::Confirmed {
+        success.state = State::Unknown;
+        success.answer = Vec::new();
+        success.mark = None;
+    }
+    reply(success);
+}
+
 fn parse(request: &Request) -> Result<Vec<Statement>, Reason> {
     let statement = |it: &crate::peer::message::Statement| {
         let params = serde_json::from_str(&it.params).map_err(|_err| Reason::Malformed)?;
@@ -389,6 +429,10 @@
     request.statements.iter().map(statement).collect()
 }
 
+fn is_read(job: &Job) -> bool {
+    job.step.is_none() && job.request.access == Access::Read
+}
+
 /// Returns the number of the transaction that a request names.
 fn transaction_id(request: &Request) -> Option<TransactionId> {
     let text = request.transaction.as_deref()?;
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -351,7 +351,7 @@
             Input::Ran(name, id, ran) => self.finish_job(&name, id, *ran),
             Input::Group(id, event) => self.group_event(&id, event),
             Input::Datagram(from, message) => self.datagram(from, message),
-            Input::Head(head) => self.take_head(head),
+            Input::Head(event) => self.take_head(event),
             Input::Body(hash, body) => self.take_body(hash, body),
             Input::Listed(seeds, leaving) => self.take_list(seeds, leaving),
             // Taken by the loop itself.
--- a/chervildrift/src/try_out/mod.rs
+++ b/chervildrift/src/try_out/mod.rs
@@ -210,7 +210,11 @@
     }
 
     fn faults(&self) -> lag::SetLag {
-        let addresses: Vec<SocketAddr> = self.upstreams.iter().map(|it| it.address()).collect();
+        let addresses: Vec<SocketAddr> = self
+            .upstreams
+            .iter()
+            .map(database::Handle::address)
+            .collect();
         lag::setter(addresses)
     }
 
--- a/chervildrift_core/tests/operator_files.rs
+++ b/chervildrift_core/tests/operator_files.rs
@@ -1,6 +1,6 @@
 //! Operator files: what is accepted, what is refused, and where the mistake is.
 
-use chervildrift_core::config::{Bundle, check};
+use chervildrift_core::config::{Bundle, Error, check};
 
 const FEDERATION: &str = include_str!("../../examples/ring-ledger.yaml");
 const BARNIZADOS: &str = include_str!("../../examples/polish-core.yaml");
@@ -62,7 +62,8 @@
         Bundle::hash(&two.encode().expect("encodes"))
     );
     assert_eq!(Bundle::decode(&body).expect("decodes"), one);
-    assert!(Bundle::collect([first.clone(), first]).is_err());
+    let twice = Bundle::collect([first.clone(), first]);
+    assert!(matches!(twice, Err(Error::Duplicate(_))), "{twice:?}");
 }
 
 /// Guards against a key that moves to another instance, which would split its data.
