Count service-level burn over the whole fleet

Cause: a report on burn has to cover all VMs without asking each of them. Ruled out: counting at every entry, since at the two-year size an entry serves all services and each aggregator would hear from 3,400 VMs; the VM that decides a request's outcome counts it. Deltas that are dropped when acknowledged, since a lost aggregator took up to a minute of counts with it.

--- /dev/null
+++ b/chervildrift_core/src/burn/limits.rs
@@ -0,0 +1,36 @@
+//! Periods and bounds of the counters.
+
+use std::time::Duration;
+
+/// Periods and bounds of the counters.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    /// Time that one delta covers.
+    pub report_period: Duration,
+    /// Time after which an unanswered batch is sent again.
+    pub resend_after: Duration,
+    /// Deltas in one batch.
+    pub batch: usize,
+    /// Deltas kept per service until a snapshot holds them.
+    pub retained: usize,
+    /// Time between two snapshots of a service.
+    pub snapshot_period: Duration,
+    /// Time after which a failed read of a snapshot is tried again.
+    pub load_pause: Duration,
+    /// Time after which an aggregator forgets a VM that sends nothing more.
+    pub forget_after: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            report_period: Duration::from_secs(10),
+            resend_after: Duration::from_secs(5),
+            batch: 8,
+            retained: 512,
+            snapshot_period: Duration::from_secs(60),
+            load_pause: Duration::from_secs(10),
+            forget_after: Duration::from_secs(6 * 3_600),
+        }
+    }
+}
