--- a/chervildrift/tests/support/mod.rs
+++ b/chervildrift/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod cases;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
