Add the platform adapter

Cause: publishing, the head record, bundles and the list of VMs need the platform's tables and objects over HTTP, through outages and lost answers. Ruled out: repeating a conditional write after a lost answer, because the second try would meet its own effect as a conflict; following redirects and proxies of the environment, since the platform is addressed by IP. Change: Platform::open, read, write, delete, scan, object, put_object and vms with stated sizes, time limits and tries. Reads and object writes are repeated with jittered pauses; a record write is sent once and fails as Unknown when its answer is lost, and as Unavailable only when nothing was sent or the platform answered 503. Before: no module. Conclusion: the callers of Unknown have to read the record back.

--- /dev/null
+++ b/chervildrift/src/platform/backoff.rs
@@ -0,0 +1,54 @@
+//! Pauses between the tries of a request.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use chervildrift_core::rng::Rng;
+
+use super::{Error, Limits};
+
+/// Source of jittered pauses.
+#[derive(Debug)]
+pub struct Backoff {
+    /// Differs between VMs, so that they do not return to the platform in step.
+    seed: u64,
+    pauses: AtomicU64,
+}
+
+impl Backoff {
+    /// Opens a source with a seed from the operating system.
+    pub fn open() -> Result<Self, Error> {
+        let seed = getrandom::u64().map_err(|error| Error::Setup(error.to_string()))?;
+        Ok(Self {
+            seed,
+            pauses: AtomicU64::new(0),
+        })
+    }
+
+    /// Repeats a request while its failure may pass, with pauses in between.
+    pub async fn retry<T>(
+        &self,
+        limits: &Limits,
+        request: impl AsyncFn() -> Result<T, Error>,
+    ) -> Result<T, Error> {
+        let mut tried = 1;
+        loop {
+            match request().await {
+                Err(error) if error.is_passing() && tried < limits.tries => {}
+                result => return result,
+            }
+            tokio::time::sleep(self.pause(limits, tried)).await;
+            tried += 1;
+        }
+    }
+
+    /// Returns a pause between half and all of its greatest length.
+    fn pause(&self, limits: &Limits, tried: u32) -> Duration {
+        let greatest = limits
+            .pause
+            .saturating_mul(1 << tried.saturating_sub(1).min(16));
+        let number = self.pauses.fetch_add(1, Ordering::Relaxed);
+        let mut rng = Rng::open(self.seed.wrapping_add(number));
+        greatest / 2 + rng.jitter(greatest / 2)
+    }
+}
--- a/chervildrift/src/platform/mod.rs
+++ b/chervildrift/src/platform/mod.rs
@@ -1,1 +1,41 @@
-//! Access to the platform's tables, objects and VM list over HTTP.
+//! Access to the platform's tables, objects and list of VMs over HTTP.
+//!
+//! Reads are repeated with jittered pauses. A write of a record is sent once: when its answer is
+//! lost it fails as [`Error::Unknown`], and the caller reads the record back.
+
+mod backoff;
+mod error;
+mod limits;
+mod objects;
+mod records;
+mod request;
+mod vms;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use self::backoff::Backoff;
+pub use self::error::Error;
+pub use self::limits::Limits;
+pub use self::records::{Condition, Deleted, Listed, Row, Scan, Tag, Written};
+use self::request::Requests;
+pub use self::vms::{ListedVm, VmState};
+
+/// Client of the platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    requests: Requests,
+    limits: Arc<Limits>,
+    backoff: Arc<Backoff>,
+}
+
+impl Platform {
+    /// Opens a client of the platform at an address; connections are made when needed.
+    pub fn open(address: SocketAddr, limits: Limits) -> Result<Self, Error> {
+        Ok(Self {
+            requests: Requests::open(address, &limits)?,
+            limits: Arc::new(limits),
+            backoff: Arc::new(Backoff::open()?),
+        })
+    }
+}
--- /dev/null
+++ b/chervildrift/src/platform/objects.rs
@@ -0,0 +1,54 @@
+//! Objects of the object store, named by their SHA-256.
+
+use chervildrift_core::generation::BundleHash;
+use reqwest::{Method, StatusCode};
+
+use super::request::{body, rejected, send_read, send_write};
+use super::{Error, Platform};
+
+impl Platform {
+    /// Reads an object, if there is one, and checks its hash.
+    pub async fn object(&self, hash: &str) -> Result<Option<Vec<u8>>, Error> {
+        let request = async || self.object_once(hash).await;
+        self.backoff.retry(&self.limits, request).await
+    }
+
+    async fn object_once(&self, hash: &str) -> Result<Option<Vec<u8>>, Error> {
+        let request = self.requests.start(Method::GET, &["objects", hash])?;
+        let response = send_read(request).await?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND => return Ok(None),
+            _ => return Err(rejected(&response)),
+        }
+        let object = body(response, self.limits.object_bytes).await?;
+        if BundleHash::of(&object).to_string() != hash {
+            return Err(Error::Malformed("an object does not fit its hash".into()));
+        }
+        Ok(Some(object))
+    }
+
+    /// Writes an object and returns its hash.
+    ///
+    /// Unlike a record it is written again after a lost answer, since the hash fixes its content.
+    pub async fn put_object(&self, object: &[u8]) -> Result<BundleHash, Error> {
+        if object.len() > self.limits.object_bytes {
+            return Err(Error::TooLarge(self.limits.object_bytes));
+        }
+        let hash = BundleHash::of(object);
+        let request = async || self.put_object_once(hash, object).await;
+        self.backoff.retry(&self.limits, request).await?;
+        Ok(hash)
+    }
+
+    async fn put_object_once(&self, hash: BundleHash, object: &[u8]) -> Result<(), Error> {
+        let hash = hash.to_string();
+        let request = self.requests.start(Method::PUT, &["objects", &hash])?;
+        let response = send_write(request.body(object.to_vec())).await?;
+        if response.status().is_success() {
+            Ok(())
+        } else {
+            Err(rejected(&response))
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift/src/platform/records.rs
@@ -0,0 +1,191 @@
+//! Records of the table service.
+
+use derive_more::{Display, From};
+use reqwest::header::CONTENT_TYPE;
+use reqwest::{Method, StatusCode};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+use super::request::{conditional, json, rejected, send_read, send_write, tag};
+use super::{Error, Platform};
+
+/// Entity tag of a record; it changes with every write.
+#[derive(Clone, Debug, Display, Eq, From, Hash, PartialEq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Tag(String);
+
+impl Tag {
+    /// Returns the tag as text.
+    #[must_use]
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// Condition of a write.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Condition {
+    /// None.
+    Always,
+    /// There is no such record.
+    Absent,
+    /// The record has this tag.
+    Unchanged(Tag),
+}
+
+/// A record with its tag.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Row<T> {
+    /// Tag of the record.
+    pub tag: Tag,
+    /// Content.
+    pub value: T,
+}
+
+/// A record as a scan lists it.
+#[derive(Clone, Debug, Eq, PartialEq, Deserialize)]
+pub struct Listed<T> {
+    /// Key of the record.
+    pub key: String,
+    /// Tag of the record.
+    pub tag: Tag,
+    /// Content.
+    pub value: T,
+}
+
+/// Outcome of a write that was answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Written {
+    /// Took effect; the record has this tag now.
+    Done(Tag),
+    /// The condition does not hold; the record has this tag, if it is there.
+    Conflict(Option<Tag>),
+}
+
+/// Outcome of a delete that was answered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Deleted {
+    /// The record is gone.
+    Done,
+    /// There was no such record.
+    Missing,
+    /// The condition does not hold; the record has this tag, if it is there.
+    Conflict(Option<Tag>),
+}
+
+/// Which records a scan lists.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Scan<'a> {
+    /// Start of their keys.
+    pub prefix: &'a str,
+    /// Key after which the list starts.
+    pub after: Option<&'a str>,
+    /// Greatest count, or the platform's own limit.
+    pub limit: Option<usize>,
+}
+
+impl Platform {
+    /// Reads a record, if there is one.
+    pub async fn read<T: DeserializeOwned>(
+        &self,
+        table: &str,
+        key: &str,
+    ) -> Result<Option<Row<T>>, Error> {
+        let request = async || self.read_once(table, key).await;
+        self.backoff.retry(&self.limits, request).await
+    }
+
+    async fn read_once<T: DeserializeOwned>(
+        &self,
+        table: &str,
+        key: &str,
+    ) -> Result<Option<Row<T>>, Error> {
+        let request = self.requests.start(Method::GET, &["tables", table, key])?;
+        let response = send_read(request).await?;
+        match response.status() {
+            StatusCode::OK => {}
+            StatusCode::NOT_FOUND => return Ok(None),
+            _ => return Err(rejected(&response)),
+        }
+        let tag = tag(&response).ok_or_else(|| Error::Malformed("no entity tag".into()))?;
+        let value = json(response, self.limits.record_bytes).await?;
+        Ok(Some(Row { tag, value }))
+    }
+
+    /// Writes a record once; after [`Error::Unknown`] the caller reads it back.
+    pub async fn write<T: Serialize + Sync>(
+        &self,
+        table: &str,
+        key: &str,
+        value: &T,
+        condition: &Condition,
+    ) -> Result<Written, Error> {
+        let body = encode(value, self.limits.record_bytes)?;
+        let request = self.requests.start(Method::PUT, &["tables", table, key])?;
+        let request = conditional(request, condition)
+            .header(CONTENT_TYPE, "application/json")
+            .body(body);
+        let response = send_write(request).await?;
+        match response.status() {
+            StatusCode::OK | StatusCode::CREATED => {
+                // Without a tag the caller has to read back.
+                tag(&response).map(Written::Done).ok_or(Error::Unknown)
+            }
+            StatusCode::PRECONDITION_FAILED => Ok(Written::Conflict(tag(&response))),
+            _ => Err(rejected(&response)),
+        }
+    }
+
+    /// Deletes a record once; after [`Error::Unknown`] the caller reads it back.
+    pub async fn delete(
+        &self,
+        table: &str,
+        key: &str,
+        condition: &Condition,
+    ) -> Result<Deleted, Error> {
+        let parts = ["tables", table, key];
+        let request = self.requests.start(Method::DELETE, &parts)?;
+        let response = send_write(conditional(request, condition)).await?;
+        match response.status() {
+            StatusCode::OK | StatusCode::NO_CONTENT => Ok(Deleted::Done),
+            StatusCode::NOT_FOUND => Ok(Deleted::Missing),
+            StatusCode::PRECONDITION_FAILED => Ok(Deleted::Conflict(tag(&response))),
+            _ => Err(rejected(&response)),
+        }
+    }
+
+    /// Lists records of a table in the order of their keys.
+    pub async fn scan<T: DeserializeOwned>(
+        &self,
+        table: &str,
+        scan: Scan<'_>,
+    ) -> Result<Vec<Listed<T>>, Error> {
+        let request = async || self.scan_once(table, scan).await;
+        self.backoff.retry(&self.limits, request).await
+    }
+
+    async fn scan_once<T: DeserializeOwned>(
+        &self,
+        table: &str,
+        scan: Scan<'_>,
+    ) -> Result<Vec<Listed<T>>, Error> {
+        let limit = scan.limit.map(|limit| limit.to_string());
+        let mut pairs = vec![("prefix", scan.prefix)];
+        pairs.extend(scan.after.map(|after| ("after", after)));
+        pairs.extend(limit.as_deref().map(|limit| ("limit", limit)));
+        let request = self.requests.query(&["tables", table], &pairs)?;
+        let response = send_read(request).await?;
+        if response.status() != StatusCode::OK {
+            return Err(rejected(&response));
+        }
+        json(response, self.limits.list_bytes).await
+    }
+}
+
+fn encode<T: Serialize>(value: &T, limit: usize) -> Result<Vec<u8>, Error> {
+    let body = serde_json::to_vec(value).map_err(|error| Error::Malformed(error.to_string()))?;
+    if body.len() > limit {
+        return Err(Error::TooLarge(limit));
+    }
+    Ok(body)
+}
--- /dev/null
+++ b/chervildrift/src/platform/request.rs
@@ -0,0 +1,131 @@
+//! Single requests to the platform.
+
+use std::net::SocketAddr;
+
+use reqwest::header::{ETAG, IF_MATCH, IF_NONE_MATCH};
+use reqwest::{Client, Method, RequestBuilder, Response, StatusCode, Url, redirect};
+use serde::de::DeserializeOwned;
+
+use super::{Condition, Error, Limits, Tag};
+
+/// HTTP client bound to one platform.
+#[derive(Clone, Debug)]
+pub struct Requests {
+    client: Client,
+    base: Url,
+}
+
+impl Requests {
+    /// Opens the client.
+    pub fn open(address: SocketAddr, limits: &Limits) -> Result<Self, Error> {
+        let client = Client::builder()
+            .connect_timeout(limits.connect)
+            .timeout(limits.request)
+            .redirect(redirect::Policy::none())
+            // The platform is addressed by IP; a proxy of the environment is not meant for it.
+            .no_proxy()
+            .build()
+            .map_err(|error| Error::Setup(error.to_string()))?;
+        let base = Url::parse(&format!("http://{address}"))
+            .map_err(|error| Error::Setup(error.to_string()))?;
+        Ok(Self { client, base })
+    }
+
+    /// Starts a request to a path, whose parts may hold any characters.
+    pub fn start(&self, method: Method, parts: &[&str]) -> Result<RequestBuilder, Error> {
+        Ok(self.client.request(method, self.url(parts)?))
+    }
+
+    /// Starts a read with a query.
+    pub fn query(&self, parts: &[&str], pairs: &[(&str, &str)]) -> Result<RequestBuilder, Error> {
+        let mut url = self.url(parts)?;
+        url.query_pairs_mut().extend_pairs(pairs);
+        Ok(self.client.get(url))
+    }
+
+    fn url(&self, parts: &[&str]) -> Result<Url, Error> {
+        if parts.iter().any(|part| matches!(*part, "" | "." | "..")) {
+            return Err(Error::Name);
+        }
+        let mut url = self.base.clone();
+        url.path_segments_mut()
+            .map_err(|()| Error::Name)?
+            .clear()
+            .extend(parts);
+        Ok(url)
+    }
+}
+
+/// Adds a condition to a request.
+pub fn conditional(request: RequestBuilder, condition: &Condition) -> RequestBuilder {
+    match condition {
+        Condition::Always => request,
+        Condition::Absent => request.header(IF_NONE_MATCH, "*"),
+        Condition::Unchanged(tag) => request.header(IF_MATCH, tag.as_str()),
+    }
+}
+
+/// Sends a read.
+pub async fn send_read(request: RequestBuilder) -> Result<Response, Error> {
+    let sent = request.send().await.map_err(|error| {
+        if error.is_connect() {
+            Error::Unavailable
+        } else {
+            Error::NoAnswer
+        }
+    });
+    available(sent?)
+}
+
+/// Sends a write; unless no connection was made, a missing answer leaves its outcome open.
+pub async fn send_write(request: RequestBuilder) -> Result<Response, Error> {
+    let sent = request.send().await.map_err(|error| {
+        if error.is_connect() || error.is_builder() {
+            Error::Unavailable
+        } else {
+            Error::Unknown
+        }
+    });
+    let response = available(sent?)?;
+    if response.status().is_server_error() {
+        return Err(Error::Unknown);
+    }
+    Ok(response)
+}
+
+/// Passes an answer unless the platform says that it did not take the request.
+fn available(response: Response) -> Result<Response, Error> {
+    if response.status() == StatusCode::SERVICE_UNAVAILABLE {
+        return Err(Error::Unavailable);
+    }
+    Ok(response)
+}
+
+/// Returns the error for an answer with an unexpected status.
+pub fn rejected(response: &Response) -> Error {
+    Error::Rejected(response.status().as_u16())
+}
+
+/// Returns the entity tag of an answer.
+pub fn tag(response: &Response) -> Option<Tag> {
+    let tag = response.headers().get(ETAG)?.to_str().ok()?;
+    Some(Tag::from(tag.to_owned()))
+}
+
+/// Reads the body of an answer to a read, up to `limit` bytes.
+pub async fn body(mut response: Response, limit: usize) -> Result<Vec<u8>, Error> {
+    let mut body = Vec::new();
+    while let Some(chunk) = response.chunk().await.ok().ok_or(Error::NoAnswer)? {
+        if body.len() + chunk.len() > limit {
+            return Err(Error::TooLarge(limit));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body)
+}
+
+/// Reads a JSON body, up to `limit` bytes.
+pub async fn json<T: DeserializeOwned>(response: Response, limit: usize) -> Result<T, Error> {
+    let body = body(response, limit).await?;
+    serde_json::from_slice(&body).map_err(|error| Error::Malformed(error.to_string()))
+}
--- /dev/null
+++ b/chervildrift/src/platform/vms.rs
@@ -0,0 +1,78 @@
+//! The platform's list of VMs.
+
+use std::net::{IpAddr, SocketAddr};
+
+use reqwest::{Method, StatusCode};
+use serde::Deserialize;
+
+use super::request::{json, rejected, send_read};
+use super::{Error, Platform};
+
+/// State of a VM in the platform's list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum VmState {
+    /// Runs and stays.
+    Live,
+    /// Is going to be stopped.
+    Leaving,
+    /// A state that this version does not know.
+    #[serde(other)]
+    Other,
+}
+
+/// A VM of the platform's list, which also names the VMs of upstreams.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedVm {
+    /// Name.
+    pub name: String,
+    /// Address; its port is 0 when the list names none.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Whether the VM stays.
+    pub state: VmState,
+}
+
+/// An entry as the platform writes it.
+#[derive(Debug, Deserialize)]
+struct Entry {
+    name: String,
+    address: String,
+    zone: String,
+    state: VmState,
+}
+
+impl Entry {
+    /// Reads the address; an entry without a readable one is left out of the list.
+    fn listed(self) -> Option<ListedVm> {
+        Some(ListedVm {
+            address: address(&self.address)?,
+            name: self.name,
+            zone: self.zone,
+            state: self.state,
+        })
+    }
+}
+
+fn address(text: &str) -> Option<SocketAddr> {
+    let bare = || text.parse::<IpAddr>().ok().map(|ip| SocketAddr::new(ip, 0));
+    text.parse().ok().or_else(bare)
+}
+
+impl Platform {
+    /// Reads the list of VMs.
+    pub async fn vms(&self) -> Result<Vec<ListedVm>, Error> {
+        let request = async || self.vms_once().await;
+        self.backoff.retry(&self.limits, request).await
+    }
+
+    async fn vms_once(&self) -> Result<Vec<ListedVm>, Error> {
+        let response = send_read(self.requests.start(Method::GET, &["vms"])?).await?;
+        if response.status() != StatusCode::OK {
+            return Err(rejected(&response));
+        }
+        let entries: Vec<Entry> = json(response, self.limits.list_bytes).await?;
+        Ok(entries.into_iter().filter_map(Entry::listed).collect())
+    }
+}
