Test newer peers and peers that fall silent

Ruled out: a second schema with its own generated file, since widening a struct and patching an enumerant in the encoded message show the same with little code. Change: tests/peer_versions.rs with a raw peer that does the hello by itself. The notice capability is asked for at the start of a connection, because the RPC library panics when it is asked for after the loss. Limits that must not be zero are raised. Before: not tested. Conclusion: unknown fields, ranks, methods and states are read as intended.

--- a/chervildrift/src/peer/listener.rs
+++ b/chervildrift/src/peer/listener.rs
@@ -102,6 +102,8 @@
     let server = Server::open(context, from, &activity);
     let client: Client = capnp_rpc::new_client(server);
     let mut system = streams.start(Side::Server, Some(client.client));
+    // Asked for at the start, since the RPC library panics when the connection is already lost.
+    let caller: caller::Client = system.bootstrap(Side::Client);
     let mut closing = context.closing.subscribe();
     tokio::select! {
         // The peer knows why its connection ended.
@@ -109,7 +111,6 @@
         () = unused(context, &activity) => return,
         _ = closing.wait_for(|closing| *closing) => {}
     }
-    let caller: caller::Client = system.bootstrap(Side::Client);
     // The peer closes the connection after its last answer; a failed notice means that it has.
     let notice = caller.leaving_request().send().promise;
     let _ = futures::join!(system, notice);
--- a/chervildrift/src/peer/options.rs
+++ b/chervildrift/src/peer/options.rs
@@ -7,6 +7,9 @@
 
 use super::FleetKey;
 
+/// Shortest period of a timer.
+const LEAST_PERIOD: Duration = Duration::from_millis(1);
+
 /// Settings of the peer links of one VM.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -45,6 +48,21 @@
     pub version: u32,
 }
 
+impl Limits {
+    /// Raises periods of timers and counts that must not be zero.
+    #[must_use]
+    pub(super) fn raised(self) -> Self {
+        Self {
+            threads: self.threads.max(1),
+            calls: self.calls.max(1),
+            half_open: self.half_open.max(1),
+            ping: self.ping.max(LEAST_PERIOD),
+            idle: self.idle.max(LEAST_PERIOD),
+            ..self
+        }
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
--- /dev/null
+++ b/chervildrift/tests/peer_versions.rs
@@ -0,0 +1,139 @@
+//! Peers with a newer schema, and peers that fall silent after the hello.
+
+mod support;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use capnp::message::{Builder, ReaderOptions};
+use capnp::serialize;
+use capnp::traits::HasTypeId as _;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use chervildrift::peer::peer_capnp as wire;
+use chervildrift::peer::{Error, State};
+use chervildrift_core::types::Rank;
+use support::raw::Raw;
+use support::{KEY, address, bind, caller, forwarded, options, request, within};
+use tokio::net::TcpListener;
+use tokio::task::{LocalSet, spawn_local};
+
+/// Bytes of the segment table and the root pointer before a message's root struct.
+const ROOT: usize = 16;
+
+/// Adds a word to the data of a message's root struct, as a newer schema does.
+fn widened(message: &Builder<capnp::message::HeapAllocator>) -> Vec<u8> {
+    let mut bytes = serialize::write_message_to_words(message);
+    let words = u32::from_le_bytes(bytes[4..8].try_into().unwrap()) + 1;
+    bytes[4..8].copy_from_slice(&words.to_le_bytes());
+    let data = u16::from_le_bytes(bytes[12..14].try_into().unwrap());
+    bytes[12..14].copy_from_slice(&(data + 1).to_le_bytes());
+    let at = ROOT + usize::from(data) * 8;
+    bytes.splice(at..at, [0xff; 8]);
+    bytes
+}
+
+/// Returns a request with a field and a rank that this version does not know.
+fn newer_request() -> Vec<u8> {
+    let mut message = Builder::new_default();
+    let mut request = message.init_root::<wire::request::Builder<'_>>();
+    request.set_key("newer");
+    request.set_rank(wire::Rank::Bulk);
+    request.set_remaining_ms(1000);
+    let mut bytes = widened(&message);
+    // The rank is the first field of its size; it follows the identifier.
+    assert_eq!(bytes[ROOT + 8], wire::Rank::Bulk as u8);
+    bytes[ROOT + 8] = 77;
+    bytes
+}
+
+/// Guards against a newer peer that is refused, misread or able to break its connection.
+#[tokio::test]
+async fn newer_caller() {
+    let (server, mut inbound) = bind(options("server", KEY));
+    let serve = tokio::spawn(async move {
+        let (request, reply) = forwarded(&mut inbound).await;
+        reply.send(support::done(&request)).unwrap();
+        request
+    });
+    let run = async {
+        let raw = Raw::connect(server.address()).await;
+        let mut system = raw.start(Side::Client, None);
+        let client: wire::peer::Client = system.bootstrap(Side::Server);
+        spawn_local(system);
+        // A method that only the newer schema has.
+        let unknown: capnp::capability::Request<
+            wire::peer::ping_params::Owned,
+            wire::peer::ping_results::Owned,
+        > = client
+            .client
+            .new_call(wire::peer::Client::TYPE_ID, 42, None);
+        let error = unknown.send().promise.await.err().unwrap();
+        assert_eq!(error.kind, capnp::ErrorKind::Unimplemented);
+        let mut call = client.forward_request();
+        let bytes = newer_request();
+        let request = serialize::read_message(&mut &*bytes, ReaderOptions::new()).unwrap();
+        call.get().set_request(request.get_root().unwrap()).unwrap();
+        let response = call.send().promise.await.unwrap();
+        let reply = response.get().unwrap().get_reply().unwrap();
+        assert_eq!(reply.get_answer().unwrap(), b"newer");
+    };
+    LocalSet::new().run_until(run).await;
+    let request = serve.await.unwrap();
+    assert_eq!((&*request.key, request.rank), ("newer", Rank::Bulk));
+}
+
+/// Serves replies with a state that this version does not know.
+struct Newer;
+
+impl wire::peer::Server for Newer {
+    async fn forward(
+        self: Rc<Self>,
+        _params: wire::peer::ForwardParams,
+        mut results: wire::peer::ForwardResults,
+    ) -> Result<(), capnp::Error> {
+        let mut message = Builder::new_default();
+        let mut reply = message.init_root::<wire::reply::Builder<'_>>();
+        reply.reborrow().init_state().set_done(());
+        reply.set_answer(b"[]");
+        let mut bytes = widened(&message);
+        assert_eq!(bytes[ROOT], 1);
+        bytes[ROOT] = 77;
+        let reply = serialize::read_message(&mut &*bytes, ReaderOptions::new())?;
+        results.get().set_reply(reply.get_root()?)
+    }
+}
+
+/// Guards against an outcome that this version does not know and takes for a success.
+#[tokio::test]
+async fn newer_server() {
+    let listener = TcpListener::bind(address()).await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let client = caller();
+    let run = async {
+        spawn_local(async move {
+            let raw = Raw::accept(listener.accept().await.unwrap().0).await;
+            let peer: wire::peer::Client = capnp_rpc::new_client(Newer);
+            raw.start(Side::Server, Some(peer.client)).await
+        });
+        client.forward(to, request("k"), within(2000)).await
+    };
+    let reply = LocalSet::new().run_until(run).await.unwrap();
+    assert_eq!(reply.state, State::Unknown);
+    assert_eq!(reply.answer, b"[]");
+}
+
+/// Guards against callers that wait for a peer which froze after the hello.
+#[tokio::test]
+async fn silent_peer() {
+    let listener = TcpListener::bind(address()).await.unwrap();
+    let to = listener.local_addr().unwrap();
+    let client = caller();
+    let call = client.forward(to, request("k"), within(10_000));
+    let accept = async {
+        let raw = Raw::accept(listener.accept().await.unwrap().0).await;
+        (raw, Instant::now())
+    };
+    let (result, (_raw, begin)) = tokio::join!(call, accept);
+    assert_eq!(result.unwrap_err(), Error::Unresponsive { sent: true });
+    assert!(begin.elapsed() < Duration::from_secs(1));
+}
--- a/chervildrift/tests/support/mod.rs
+++ b/chervildrift/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod cases;
+pub mod raw;
 
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
