--- a/chervildrift/src/publish/mod.rs
+++ b/chervildrift/src/publish/mod.rs
@@ -16,7 +16,7 @@
 use tokio::runtime::Builder;
 
 use crate::declare::{self, collect};
-use crate::platform::{self, Platform};
+use crate::platform::{self, Condition, Platform, Written};
 use crate::serve::{HEAD_KEY, HEAD_TABLE};
 
 /// Exit code of a publish that did not take effect.
@@ -144,22 +144,23 @@
         PublishAction::ReadHead => match platform.read::<Head>(HEAD_TABLE, HEAD_KEY).await {
             Ok(Some(row)) => PublishEvent::Head(Reading {
                 head: Some(row.value),
-                tag: Some(row.tag),
+                tag: Some(row.tag.to_string()),
             }),
             Ok(None) => PublishEvent::Head(Reading::default()),
             Err(_err) => PublishEvent::Failed,
         },
-        PublishAction::Store { hash } => match platform.put_object(&hash.to_string(), body).await {
-            Ok(()) => PublishEvent::Stored,
-            Err(_err) => PublishEvent::Failed,
+        PublishAction::Store { hash } => match platform.put_object(body).await {
+            Ok(stored) if stored == hash => PublishEvent::Stored,
+            Ok(_) | Err(_) => PublishEvent::Failed,
         },
         PublishAction::Swap { tag, head } => {
+            let condition = tag.map_or(Condition::Absent, |tag| Condition::Unchanged(tag.into()));
             match platform
-                .write(HEAD_TABLE, HEAD_KEY, tag.as_deref(), &head)
+                .write(HEAD_TABLE, HEAD_KEY, &head, &condition)
                 .await
             {
-                Ok(_tag) => PublishEvent::Swapped,
-                Err(platform::Error::Conflict) => PublishEvent::Refused,
+                Ok(Written::Done(_)) => PublishEvent::Swapped,
+                Ok(Written::Conflict(_)) => PublishEvent::Refused,
                 Err(_err) => PublishEvent::Failed,
             }
         }
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use chervildrift_core::burn;
 use chervildrift_core::config::Bundle;
 use chervildrift_core::generation::{self, BundleHash, Head, Version};
-use chervildrift_core::membership::{self, Member, Message, Seed};
+use chervildrift_core::membership::{self, Member, Seed};
 use chervildrift_core::placement;
 use chervildrift_core::types::{Time, Upstream, Vm};
 use slog::{error, info, warn};
@@ -13,8 +14,10 @@
 
 use super::Input;
 use super::node::Node;
+use crate::gossip::Datagram;
 use crate::peer;
 use crate::peer::message::{Inbound, Pong};
+use crate::platform::{ListedVm, VmState};
 
 /// Table and key of the head record.
 pub const HEAD_TABLE: &str = "config";
@@ -28,9 +31,6 @@
 /// Time limit of a bundle's transfer from a peer.
 const BUNDLE_LIMIT: Duration = Duration::from_secs(1);
 
-/// State that the platform's list gives a VM or an upstream on its way out.
-const LEAVING: &str = "leaving";
-
 impl Node {
     /// Passes time to the membership and the configuration.
     pub(super) fn tick_fleet(&mut self, now: Time) {
@@ -44,12 +44,14 @@
             self.close_idle(now);
         }
         let ready = self.generations.is_ready() && !self.stopping;
+        self.tick_burn(now);
         self.shared.ready.store(ready, Ordering::Release);
     }
 
     /// Takes a membership message.
-    pub(super) fn datagram(&mut self, from: std::net::SocketAddr, message: Message) {
+    pub(super) fn datagram(&mut self, datagram: Datagram) {
         let now = self.clock.now();
+        let Datagram { from, message } = datagram;
         let event = membership::Event::Message { from, message };
         let actions = self.membership.handle(now, event);
         self.carry_out(now, actions);
@@ -94,6 +96,7 @@
         if changed {
             self.place_pollers(now);
             self.reconcile(now);
+            self.burn_event(burn::Event::Moved);
         }
     }
 
@@ -164,6 +167,7 @@
             .handle(now, membership::Event::Version(version));
         self.carry_out(now, actions);
         self.reconcile(now);
+        self.declare_objectives();
     }
 
     fn read_head(&self) {
@@ -230,15 +234,15 @@
             let Ok(listed) = platform.vms().await else {
                 return;
             };
-            let leaving = listed.iter().filter(|it| it.state == LEAVING);
+            let leaving = listed.iter().filter(|it| it.state == VmState::Leaving);
             let leaving = leaving.map(|it| it.name.clone()).collect();
-            let seed = |it: &crate::platform::ListedVm| Seed {
+            let seed = |it: &ListedVm| Seed {
                 vm: Some(Vm::from(it.name.as_str())),
                 address: it.address,
             };
             let seeds = listed
                 .iter()
-                .filter(|it| it.state != LEAVING)
+                .filter(|it| it.state != VmState::Leaving)
                 .map(seed)
                 .collect();
             let _ended = inputs.send(Input::Listed(seeds, leaving));
--- a/chervildrift/src/serve/mod.rs
+++ b/chervildrift/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! One VM of the system: an event loop that owns all state, and the sockets round it.
 
 mod accept;
+mod burn;
 mod clock;
 mod dispatcher;
 mod entry;
@@ -22,10 +23,11 @@
 use chervildrift_core::dispatch::JobId;
 use chervildrift_core::failover::Event;
 use chervildrift_core::generation::{self, BundleHash};
-use chervildrift_core::membership::{Message, Seed};
+use chervildrift_core::membership::Seed;
 use chervildrift_core::types::{GroupId, Time, Upstream};
 use tokio::sync::oneshot;
 
+use crate::gossip::Datagram;
 use crate::metrics::Metrics;
 use crate::peer;
 use crate::peer::message::{GroupState, Inbound, Reply};
@@ -57,13 +59,15 @@
     /// The end of a status read or an order.
     Group(GroupId, Event),
     /// A membership message.
-    Datagram(std::net::SocketAddr, Message),
+    Datagram(Datagram),
     /// The end of a read of the platform's head record.
     Head(generation::Event),
     /// A bundle by its hash; none when it could not be had.
     Body(BundleHash, Option<Vec<u8>>),
     /// The platform's list of VMs: seeds, and names that are leaving.
     Listed(Vec<Seed>, Vec<String>),
+    /// The end of a read or write of a burn snapshot.
+    Burn(chervildrift_core::burn::Event),
     /// A planned stop; the answer tells whether all work had ended.
     Stop(oneshot::Sender<bool>),
 }
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use chervildrift_core::burn::Burn;
 use chervildrift_core::config::{Bundle, Settings};
 use chervildrift_core::failover::{Action, Event, Promoter};
 use chervildrift_core::generation::Generations;
@@ -58,6 +59,9 @@
     pub leaving: HashSet<Upstream>,
     /// Time of the next read of the platform's list.
     pub list_at: Time,
+    pub burn: Burn,
+    /// Time of the next tick of the burn counters.
+    pub burn_at: Time,
     pub stopping: bool,
     pub number: u64,
 }
--- a/chervildrift/src/serve/observe.rs
+++ b/chervildrift/src/serve/observe.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use chervildrift_core::burn::Series;
 use chervildrift_core::config::Objective;
 use slog::debug;
 
@@ -62,10 +63,12 @@
         let Some(Objective { within_ms, .. }) = kind.and_then(|it| it.objective) else {
             return;
         };
+        let series = Series {
+            service: pending.request.service.clone(),
+            kind: pending.request.kind.clone(),
+            rank: pending.request.rank,
+        };
         let good = answered && took <= Duration::from_millis(within_ms);
-        let _ = good;
+        self.burn.record(&series, good);
     }
-
-    /// Merges the burn counters of another VM.
-    pub(super) fn merge_burn(&mut self, _delta: &[u8]) {}
 }
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use std::{io, thread};
 
+use chervildrift_core::burn::{self, Burn};
 use chervildrift_core::config::{Bundle, Settings};
 use chervildrift_core::failover::Promoter;
 use chervildrift_core::generation::{self, Generations};
@@ -131,7 +132,7 @@
     let seed = mix(boot ^ placement::digest(settings.vm.as_str()));
     let key = FleetKey::open(&hex::decode(&settings.keys.fleet_hex)?)?;
     let peers = bind_peers(&settings, &key, &io, &inputs)?;
-    let gossip = bind_gossip(&settings, &key, peers.address(), &io, &inputs)?;
+    let gossip = bind_gossip(&key, peers.address(), &io, &inputs)?;
     let platform = Platform::open(
         settings.platform.address,
         crate::platform::Limits::default(),
@@ -170,6 +171,8 @@
         list_at: Time::default(),
         promoter: Promoter::new(&settings.vm, boot),
         recorder: record.map(Recorder::open),
+        burn: Burn::open(settings.vm.clone(), boot, burn::Limits::default()),
+        burn_at: Time::default(),
         stopping: false,
         number: 0,
         settings: settings.clone(),
@@ -218,7 +221,6 @@
 }
 
 fn bind_gossip(
-    settings: &Settings,
     key: &FleetKey,
     address: SocketAddr,
     io: &Runtime,
@@ -227,15 +229,14 @@
     let (sender, mut inbound) = mpsc::channel(PEER_QUEUE);
     let options = gossip::Options {
         address,
-        name: settings.vm.clone(),
         key: key.clone(),
     };
     let _runtime = io.enter();
-    let handle = gossip::bind(options, sender)?;
+    let handle = gossip::bind(&options, sender)?;
     let inputs = inputs.clone();
     io.spawn(async move {
-        while let Some((from, message)) = inbound.recv().await {
-            if inputs.send(Input::Datagram(from, message)).is_err() {
+        while let Some(datagram) = inbound.recv().await {
+            if inputs.send(Input::Datagram(datagram)).is_err() {
                 break;
             }
         }
@@ -350,9 +351,10 @@
             Input::Told(group, sent, state) => self.told(&group, sent, state),
             Input::Ran(name, id, ran) => self.finish_job(&name, id, *ran),
             Input::Group(id, event) => self.group_event(&id, event),
-            Input::Datagram(from, message) => self.datagram(from, message),
+            Input::Datagram(datagram) => self.datagram(datagram),
             Input::Head(event) => self.take_head(event),
             Input::Body(hash, body) => self.take_body(hash, body),
+            Input::Burn(event) => self.burn_event(event),
             Input::Listed(seeds, leaving) => self.take_list(seeds, leaving),
             // Taken by the loop itself.
             Input::Stop(_) => {}
--- a/chervildrift/tests/bad_input.rs
+++ b/chervildrift/tests/bad_input.rs
@@ -1,6 +1,6 @@
 //! Bad input at the callers' listener.
 
-mod support;
+mod demo;
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use support::{Session, embedded};
+use demo::{Session, embedded};
 
 /// Guards against bad input that is answered without a clear error, or that runs.
 #[tokio::test]
--- /dev/null
+++ b/chervildrift/tests/demo/mod.rs
@@ -0,0 +1,94 @@
+//! Helpers of the tests: the embedded default and a caller of it.
+
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+
+use std::net::SocketAddr;
+
+use chervildrift::try_out::Embedded;
+use chervildrift_core::config::LogLevel;
+use serde_json::{Value, json};
+
+/// A caller that keeps its session.
+#[derive(Debug)]
+pub struct Session {
+    client: reqwest::Client,
+    credential: String,
+    pub token: Option<String>,
+}
+
+/// Answer of a VM.
+#[derive(Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub body: Value,
+}
+
+impl Reply {
+    /// Returns what became of a request without results.
+    pub fn state(&self) -> &str {
+        self.body["state"].as_str().unwrap_or_default()
+    }
+
+    /// Returns the last part of the problem's type.
+    pub fn problem(&self) -> &str {
+        let kind = self.body["type"].as_str().unwrap_or_default();
+        kind.rsplit(':').next().unwrap_or_default()
+    }
+}
+
+/// Starts the embedded default on free ports.
+pub async fn embedded() -> Embedded {
+    Embedded::spawn(0, LogLevel::Error)
+        .await
+        .expect("the embedded default starts")
+}
+
+impl Session {
+    pub fn open(credential: &str) -> Self {
+        let client = reqwest::Client::new();
+        Self {
+            client,
+            credential: credential.to_owned(),
+            token: None,
+        }
+    }
+
+    /// Sends a body to a path and keeps the session of the answer.
+    pub async fn post(&mut self, vm: SocketAddr, path: &str, body: impl Into<String>) -> Reply {
+        let request = self
+            .client
+            .post(format!("http://{vm}{path}"))
+            .body(body.into());
+        self.send(request).await
+    }
+
+    pub async fn get(&mut self, vm: SocketAddr, path: &str) -> Reply {
+        let request = self.client.get(format!("http://{vm}{path}"));
+        self.send(request).await
+    }
+
+    async fn send(&mut self, request: reqwest::RequestBuilder) -> Reply {
+        let mut request = request.bearer_auth(&self.credential);
+        if let Some(token) = &self.token {
+            request = request.header("chervildrift-session", token);
+        }
+        let response = request.send().await.expect("the VM answers");
+        let status = response.status().as_u16();
+        let token = response.headers().get("chervildrift-session");
+        if let Some(token) = token.and_then(|it| it.to_str().ok()) {
+            self.token = Some(token.to_owned());
+        }
+        Reply {
+            status,
+            body: response.json().await.unwrap_or_default(),
+        }
+    }
+
+    /// Runs one statement as work of `kind`.
+    pub async fn run(&mut self, vm: SocketAddr, kind: &str, sql: &str, params: Value) -> Reply {
+        let body = json!({ "key": "a", "statements": [{ "sql": sql, "params": params }] });
+        self.post(vm, &format!("/v1/demo/{kind}"), body.to_string())
+            .await
+    }
+}
--- a/chervildrift/tests/primary_change.rs
+++ b/chervildrift/tests/primary_change.rs
@@ -1,13 +1,13 @@
 //! Changes of primary under running VMs.
 
-mod support;
+mod demo;
 
 use std::time::{Duration, Instant};
 
 use chervildrift_standin::upstream::Fault;
 use serde_json::json;
 
-use support::{Session, embedded};
+use demo::{Session, embedded};
 
 /// Longest gap in service that a change of primary may cause.
 const GAP_LIMIT: Duration = Duration::from_secs(3);
--- a/chervildrift/tests/whole_path.rs
+++ b/chervildrift/tests/whole_path.rs
@@ -1,11 +1,11 @@
 //! One request from a caller to an upstream and back, through two VMs.
 
-mod support;
+mod demo;
 
 use chervildrift_standin::upstream::Fault;
 use serde_json::json;
 
-use support::{Session, embedded};
+use demo::{Session, embedded};
 
 /// Guards against a read that misses the session's own write, through another VM and with
 /// replicas a minute behind.
@@ -105,3 +105,46 @@
         .await;
     assert_eq!(read.body["results"][0]["rows"][0][0], json!(0));
 }
+/// Guards against a transaction that is bound to the VM that opened it, or open to other callers.
+#[tokio::test]
+async fn roaming_transaction() {
+    let embedded = embedded().await;
+    let [first, second] = [embedded.callers()[0], embedded.callers()[1]];
+    let mut session = Session::open(embedded.credential());
+    session
+        .run(first, "save", "create table note (id text)", json!([]))
+        .await;
+    let opened = session
+        .post(first, "/v1/demo/save/transactions", r#"{"key":"a"}"#)
+        .await;
+    let id = opened.body["transaction"]
+        .as_str()
+        .expect("an identifier")
+        .to_owned();
+    let insert = r#"{"statements":[{"sql":"insert into note values ('t')"}]}"#;
+    let path = |action: &str| format!("/v1/transactions/{id}/{action}");
+    let executed = session.post(second, &path("execute"), insert).await;
+    assert_eq!(executed.status, 200, "{:?}", executed.body);
+    let hidden = session
+        .run(first, "look", "select count(*) from note", json!([]))
+        .await;
+    assert_eq!(
+        hidden.body["results"][0]["rows"][0][0],
+        json!(0),
+        "{:?}",
+        hidden.body
+    );
+    let committed = session.post(first, &path("commit"), "").await;
+    assert_eq!(committed.status, 200, "{:?}", committed.body);
+    let seen = session
+        .run(second, "list", "select count(*) from note", json!([]))
+        .await;
+    assert_eq!(
+        seen.body["results"][0]["rows"][0][0],
+        json!(1),
+        "{:?}",
+        seen.body
+    );
+    let again = session.post(second, &path("commit"), "").await;
+    assert_eq!((again.status, again.problem()), (409, "transaction-lost"));
+}
--- a/chervildrift_core/src/burn/event.rs
+++ b/chervildrift_core/src/burn/event.rs
@@ -58,7 +58,7 @@
 }
 
 /// Requests of one kind and rank in a delta.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Count {
     /// Kind of the requests.
     pub kind: Kind,
@@ -69,7 +69,7 @@
 }
 
 /// Requests that one VM finished in one report period.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Delta {
     /// Number of the delta, counted from 1 by its VM, process and service.
     pub sequence: u64,
@@ -80,7 +80,7 @@
 }
 
 /// Deltas of one VM for the aggregator of a service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Batch {
     /// VM that reports.
     pub from: Vm,
@@ -104,7 +104,7 @@
 }
 
 /// Answer of an aggregator to a batch.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Ack {
     /// VM that answers.
     pub from: Vm,
