Limit the statements that an upstream stand-in runs at one time

Cause: without a limit of its own, two dispatchers that both use all slots would get twice the capacity, which no database gives. Also, a write with a random value or the current time gave each replica another state. Ruled out: running such writes once and shipping values, since the log holds statements; the proxy's own statements use parameters only. Change: option slots, with waiting statements in order of arrival; volatile words in writes are refused with 0A000; replies have a module of their own. Conclusion: capacity is slots divided by statement time, whoever asks.

--- a/chervildrift_standin/src/upstream/call.rs
+++ b/chervildrift_standin/src/upstream/call.rs
@@ -12,7 +12,8 @@
 use super::function::{Call, Function};
 use super::log::{Entry, Mark};
 use super::node::{Role, Status};
-use super::session::{Reply, Session};
+use super::reply::Reply;
+use super::session::Session;
 use super::shared::milliseconds;
 use super::value::Value;
 
--- a/chervildrift_standin/src/upstream/mod.rs
+++ b/chervildrift_standin/src/upstream/mod.rs
@@ -14,12 +14,14 @@
 mod log;
 mod node;
 mod replica;
+mod reply;
 mod server;
 mod session;
 mod shared;
 mod sql;
 mod tokens;
 mod value;
+mod volatile;
 mod wire;
 
 use std::net::{Ipv4Addr, SocketAddr};
@@ -66,6 +68,11 @@
     /// Within a write transaction it is charged after the commit, because the upstream has one
     /// writer at a time and would otherwise run writes one after the other, whatever the slots.
     pub statement: Duration,
+    /// Statements that run at one time, each for the time above; none means no limit.
+    ///
+    /// Further statements wait for their turn, as in a database whose cores are busy. Calls of the
+    /// upstream's functions take no time and need no slot.
+    pub slots: Option<usize>,
     /// Time that opening a connection takes.
     pub connect: Duration,
     /// Connections beyond which a new one is refused with SQLSTATE 53300.
@@ -91,6 +98,7 @@
             role: Role::Primary,
             follow: None,
             statement: Duration::ZERO,
+            slots: None,
             connect: Duration::ZERO,
             connections: DEFAULT_CONNECTIONS,
             lock_wait: DEFAULT_LOCK_WAIT,
--- a/chervildrift_standin/src/upstream/session.rs
+++ b/chervildrift_standin/src/upstream/session.rs
@@ -16,26 +16,11 @@
 use super::faults::Fault;
 use super::function::Function;
 use super::node::Node;
+use super::reply::Reply;
 use super::shared::Shared;
 use super::sql::{Action, Command};
 use super::value::Value;
 
-/// Answer to one statement.
-#[derive(Debug)]
-pub(super) enum Reply {
-    /// Rows under a command tag.
-    Rows {
-        tag: &'static str,
-        rows: Vec<Vec<Value>>,
-    },
-    /// Command tag, with the number of changed rows if the command has one.
-    Done(&'static str, Option<usize>),
-    /// Command tag of a statement that started a transaction.
-    Started(&'static str),
-    /// Command tag of a statement that ended a transaction.
-    Ended(&'static str),
-}
-
 /// Open transaction of a session.
 #[derive(Debug)]
 struct Transaction {
@@ -90,7 +75,10 @@
             if self.is_counted() {
                 self.shared.busy.fetch_add(1, Ordering::SeqCst);
             }
-            sleep_some(self.shared.faults.duration(Fault::DelayMs)).await;
+            let delay = self.shared.faults.duration(Fault::DelayMs);
+            if !delay.is_zero() {
+                sleep(delay).await;
+            }
         }
     }
 
@@ -146,7 +134,8 @@
     pub async fn rollback(&self) {
         self.shared.node().rollback(self.id);
         let ended = self.transaction().take();
-        sleep_some(ended.map(|ended| ended.owed).unwrap_or_default()).await;
+        let owed = ended.map(|ended| ended.owed).unwrap_or_default();
+        self.shared.work(owed).await;
     }
 
     /// Commits the transaction; one that has failed is rolled back instead.
@@ -159,7 +148,7 @@
             return Ok(Reply::Ended("ROLLBACK"));
         }
         let wrote = self.commit_writes(&ended)?;
-        sleep_some(ended.owed).await;
+        self.shared.work(ended.owed).await;
         if wrote {
             self.answer_or_drop().await;
         }
@@ -202,6 +191,7 @@
         let writes = self.shared.node().writes(self.id, command)?;
         if writes {
             self.shared.node().check_writable()?;
+            command.check_repeatable()?;
         }
         self.charge().await;
         let outcome = if !writes {
@@ -211,7 +201,7 @@
         } else {
             self.write_alone(command, params).await?
         };
-        Ok(reply(command, outcome))
+        Ok(Reply::of(command, outcome))
     }
 
     /// Runs a write as a transaction of its own.
@@ -288,7 +278,8 @@
             open.owed += time;
         }
         let slow = self.shared.faults.duration(Fault::SlowStatementMs);
-        sleep_some(if deferred { slow } else { time + slow }).await;
+        let now = if deferred { slow } else { time + slow };
+        self.shared.work(now).await;
         self.shared.faults.thawed().await;
     }
 
@@ -344,21 +335,3 @@
         }
     }
 }
-
-fn reply(command: &Command, outcome: Outcome) -> Reply {
-    if outcome.columns {
-        return Reply::Rows {
-            tag: command.tag,
-            rows: outcome.rows,
-        };
-    }
-    let counted = matches!(command.tag, "INSERT 0" | "UPDATE" | "DELETE");
-    Reply::Done(command.tag, counted.then_some(outcome.changed))
-}
-
-/// Sleeps unless there is nothing to wait for.
-async fn sleep_some(time: Duration) {
-    if !time.is_zero() {
-        sleep(time).await;
-    }
-}
--- a/chervildrift_standin/src/upstream/shared.rs
+++ b/chervildrift_standin/src/upstream/shared.rs
@@ -30,6 +30,7 @@
     pub lagging: Notify,
     node: Mutex<Node>,
     writer: Arc<Semaphore>,
+    slots: Semaphore,
     sessions: AtomicU64,
 }
 
@@ -46,6 +47,7 @@
         faults.set(Fault::ReceiveLagMs, milliseconds(options.receive_lag));
         faults.set(Fault::ApplyLagMs, milliseconds(options.apply_lag));
         Ok(Self {
+            slots: Semaphore::new(options.slots.unwrap_or(Semaphore::MAX_PERMITS)),
             options,
             faults,
             connections: AtomicUsize::new(0),
@@ -73,6 +75,15 @@
         self.lagging.notify_one();
     }
 
+    /// Takes the time of a statement, in one of the slots.
+    pub async fn work(&self, time: Duration) {
+        if !time.is_zero() {
+            // The slots are never closed, so that waiting cannot fail.
+            let _slot = self.slots.acquire().await;
+            sleep(time).await;
+        }
+    }
+
     /// Waits to become the one writer.
     pub async fn writer(&self) -> Result<OwnedSemaphorePermit, SqlError> {
         let writer = Arc::clone(&self.writer).acquire_owned();
--- a/chervildrift_standin/src/upstream/sql.rs
+++ b/chervildrift_standin/src/upstream/sql.rs
@@ -5,6 +5,7 @@
 use super::error::{SqlError, code};
 use super::function::Call;
 use super::tokens::{Token, tokens};
+use super::volatile;
 
 /// What a statement does to the session.
 #[derive(Clone, Debug)]
@@ -38,6 +39,8 @@
     /// Command tag of the answer.
     pub tag: &'static str,
     pub action: Action,
+    /// Word whose value differs each time, so that replicas could not repeat a write.
+    volatile: Option<String>,
 }
 
 impl Command {
@@ -54,8 +57,18 @@
             sql: Arc::from(translate(sql, &found)),
             tag,
             action,
+            volatile: volatile::find(&found),
         }))
     }
+
+    /// Refuses a write whose effect a replica could not repeat from its text.
+    pub fn check_repeatable(&self) -> Result<(), SqlError> {
+        let Some(word) = &self.volatile else {
+            return Ok(());
+        };
+        let message = format!("a write cannot use {word}: replicas run its text again");
+        Err(SqlError::new(code::FEATURE_NOT_SUPPORTED, message))
+    }
 }
 
 /// Splits the text of a simple query into its statements.
--- a/chervildrift_standin/src/upstream/wire/mod.rs
+++ b/chervildrift_standin/src/upstream/wire/mod.rs
@@ -22,7 +22,8 @@
 
 use super::error::{SqlError, code};
 use super::faults::Fault;
-use super::session::{Reply, Session};
+use super::reply::Reply;
+use super::session::Session;
 use super::sql::Command;
 use super::value::Value;
 use super::{FAULT_USER, REPLICA_USER};
--- a/chervildrift_standin/src/upstream/wire/response.rs
+++ b/chervildrift_standin/src/upstream/wire/response.rs
@@ -10,7 +10,7 @@
 use pgwire::messages::data::{FieldDescription, NoData, RowDescription};
 
 use super::super::database::Column;
-use super::super::session::Reply;
+use super::super::reply::Reply;
 use super::super::value::{Value, encode};
 
 /// Builds the response to one statement.
--- a/chervildrift_standin/tests/sql_statements.rs
+++ b/chervildrift_standin/tests/sql_statements.rs
@@ -214,3 +214,21 @@
         .unwrap_err();
     assert_eq!(state(&err), Some(&SqlState::UNDEFINED_TABLE));
 }
+
+/// Guards against writes that a replica would repeat with another value.
+#[tokio::test]
+async fn volatile_writes() {
+    let handle = primary();
+    let client = connect(&handle).await;
+    create(&client).await;
+    for value in ["random()", "datetime('now')", "unixepoch()", "CURRENT_DATE"] {
+        let sql = format!("INSERT INTO notes VALUES (1, {value})");
+        let err = client.execute(&sql, &[]).await.unwrap_err();
+        assert_eq!(state(&err), Some(&SqlState::FEATURE_NOT_SUPPORTED));
+    }
+    client.query("SELECT random()", &[]).await.unwrap();
+    client
+        .execute("INSERT INTO notes VALUES (1, 'now')", &[])
+        .await
+        .unwrap();
+}
--- a/chervildrift_standin/tests/upstream_faults.rs
+++ b/chervildrift_standin/tests/upstream_faults.rs
@@ -174,6 +174,36 @@
     assert!(start.elapsed() < time * 2 * WRITERS);
 }
 
+/// Guards against an upstream that runs more statements at one time than it has slots.
+#[tokio::test]
+async fn limited_slots() {
+    let time = Duration::from_millis(100);
+    let options = Options {
+        statement: time,
+        slots: Some(2),
+        ..Options::default()
+    };
+    let handle = spawn(options).unwrap();
+    let client = connect(&handle).await;
+    let others = [
+        connect(&handle).await,
+        connect(&handle).await,
+        connect(&handle).await,
+    ];
+    let sql = "SELECT 1";
+    let start = Instant::now();
+    let (a, b, c) = tokio::join!(
+        others[0].batch_execute(sql),
+        others[1].batch_execute(sql),
+        others[2].batch_execute(sql),
+    );
+    assert!(a.is_ok() && b.is_ok() && c.is_ok());
+    assert!(start.elapsed() >= time * 2);
+    let start = Instant::now();
+    status(&client).await;
+    assert!(start.elapsed() < time);
+}
+
 /// Guards against a second writer that waits for ever, and against an idle one that keeps it out.
 #[tokio::test]
 async fn waiting_writers() {
