Close all connections of an upstream stand-in on demand

Cause: a crashed upstream closes its connections and keeps its log, which no fault could show; stopping the handle loses the log. Ruled out: a restart from saved state, since a stand-in that keeps its state in place and refuses connections looks the same from outside. Change: fault disconnect, which spares connections that switch faults. With refuse_connections and cut_replication it stands for a dead upstream. Conclusion: an upstream can be killed and brought back over the wire.

--- a/chervildrift_standin/src/upstream/faults.rs
+++ b/chervildrift_standin/src/upstream/faults.rs
@@ -24,10 +24,12 @@
     SlowStatementMs,
     /// Closes new connections unanswered while not zero.
     RefuseConnections,
+    /// Closes all open connections at once, as a crash would, whenever it is set to not zero.
+    Disconnect,
 }
 
 impl Fault {
-    const COUNT: usize = 8;
+    const COUNT: usize = 9;
 
     /// All faults, in the order of their declaration.
     pub const ALL: [Self; Self::COUNT] = [
@@ -39,6 +41,7 @@
         Self::CutReplication,
         Self::SlowStatementMs,
         Self::RefuseConnections,
+        Self::Disconnect,
     ];
 
     /// Returns the name under which `chervildrift_fault` takes the fault.
@@ -53,6 +56,7 @@
             Self::CutReplication => "cut_replication",
             Self::SlowStatementMs => "slow_statement_ms",
             Self::RefuseConnections => "refuse_connections",
+            Self::Disconnect => "disconnect",
         }
     }
 
@@ -68,6 +72,8 @@
 pub(super) struct Faults {
     values: [AtomicI64; Fault::COUNT],
     frozen: watch::Sender<bool>,
+    /// Changes whenever all connections are to be closed.
+    disconnected: watch::Sender<u64>,
 }
 
 impl Faults {
@@ -76,14 +82,19 @@
         Self {
             values: std::array::from_fn(|_| AtomicI64::new(0)),
             frozen: watch::Sender::new(false),
+            disconnected: watch::Sender::new(0),
         }
     }
 
     /// Sets one fault; zero turns it off.
     pub fn set(&self, fault: Fault, value: i64) {
         self.values[fault as usize].store(value, Ordering::SeqCst);
-        if fault == Fault::Freeze {
-            self.frozen.send_replace(value != 0);
+        match fault {
+            Fault::Freeze => {
+                self.frozen.send_replace(value != 0);
+            }
+            Fault::Disconnect if value != 0 => self.disconnected.send_modify(|count| *count += 1),
+            _ => {}
         }
     }
 
@@ -112,6 +123,11 @@
         drop(frozen.wait_for(|frozen| !frozen).await);
     }
 
+    /// Observes the orders to close all connections.
+    pub fn watch_disconnects(&self) -> watch::Receiver<u64> {
+        self.disconnected.subscribe()
+    }
+
     fn value(&self, fault: Fault) -> i64 {
         self.values[fault as usize].load(Ordering::SeqCst)
     }
--- a/chervildrift_standin/src/upstream/mod.rs
+++ b/chervildrift_standin/src/upstream/mod.rs
@@ -36,7 +36,10 @@
 pub use self::node::{Role, Status};
 use self::shared::Shared;
 
-/// User whose connections pass every fault and limit, to switch faults from outside.
+/// User whose connections open whatever the faults and limits, to switch faults from outside.
+///
+/// Any open connection can switch faults too, but new ones of other users wait while the upstream
+/// is frozen.
 pub const FAULT_USER: &str = "chervildrift_fault";
 
 /// User that replicas connect as; they do not count as connections.
--- a/chervildrift_standin/src/upstream/server.rs
+++ b/chervildrift_standin/src/upstream/server.rs
@@ -10,7 +10,7 @@
 use tokio::net::TcpStream;
 use tokio::runtime::{Builder, Runtime};
 use tokio::select;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
 
@@ -100,10 +100,21 @@
 /// Serves one connection until either side closes it.
 async fn connection(socket: TcpStream, session: Arc<Session>) {
     let handlers = Handlers::open(Arc::clone(&session));
+    let disconnects = session.shared.faults.watch_disconnects();
     select! {
         // A connection that fails is closed, like one that ends.
         _ = process_socket(socket, None, handlers) => {}
         () = session.kill.notified() => {}
+        () = disconnected(&session, disconnects) => {}
+    }
+}
+
+/// Waits for an order to close all connections, which spares those that switch faults.
+async fn disconnected(session: &Session, mut disconnects: watch::Receiver<u64>) {
+    while disconnects.changed().await.is_ok() {
+        if !session.control.load(Ordering::SeqCst) {
+            return;
+        }
     }
 }
 
--- a/chervildrift_standin/src/upstream/session.rs
+++ b/chervildrift_standin/src/upstream/session.rs
@@ -42,6 +42,8 @@
     pub kill: Notify,
     /// Whether the connection counts against the limit.
     pub counted: AtomicBool,
+    /// Whether the connection is one that switches faults.
+    pub control: AtomicBool,
     id: u64,
     transaction: Mutex<Option<Transaction>>,
     activity: Arc<Activity>,
@@ -55,6 +57,7 @@
             shared,
             kill: Notify::new(),
             counted: AtomicBool::new(false),
+            control: AtomicBool::new(false),
             transaction: Mutex::new(None),
             activity: Arc::new(Activity::new()),
         }
--- a/chervildrift_standin/src/upstream/wire/mod.rs
+++ b/chervildrift_standin/src/upstream/wire/mod.rs
@@ -72,6 +72,7 @@
     {
         let user = client.metadata().get(METADATA_USER).map(String::as_str);
         if user == Some(FAULT_USER) {
+            self.session.control.store(true, Ordering::SeqCst);
             return Ok(());
         }
         let shared = &self.session.shared;
--- a/chervildrift_standin/tests/upstream_faults.rs
+++ b/chervildrift_standin/tests/upstream_faults.rs
@@ -130,6 +130,23 @@
     connect(&handle).await;
 }
 
+/// Guards against a crash that leaves a connection or a transaction open, or loses committed data.
+#[tokio::test]
+async fn closed_connections() {
+    let handle = primary();
+    let client = connect(&handle).await;
+    create(&client).await;
+    insert(&client, 1).await.unwrap();
+    client.batch_execute("BEGIN").await.unwrap();
+    insert(&client, 2).await.unwrap();
+    let control = try_connect(handle.address(), FAULT_USER).await.unwrap();
+    set(&control, "disconnect", 1).await;
+    assert!(insert(&client, 2).await.unwrap_err().code().is_none());
+    let client = connect(&handle).await;
+    insert(&client, 3).await.unwrap();
+    assert_eq!(count(&client).await, 2);
+}
+
 /// Guards against more connections than the limit, and against places that never come free.
 #[tokio::test]
 async fn connection_limit() {
