--- a/chervildrift_standin/src/upstream/wire/mod.rs
+++ b/chervildrift_standin/src/upstream/wire/mod.rs
@@ -22,7 +22,8 @@
 
 use super::error::{SqlError, code};
 use super::faults::Fault;
-use super::session::{Reply, Session};
+use super::reply::Reply;
+use super::session::Session;
 use super::sql::Command;
 use super::value::Value;
 use super::{FAULT_USER, REPLICA_USER};
@@ -71,6 +72,7 @@
     {
         let user = client.metadata().get(METADATA_USER).map(String::as_str);
         if user == Some(FAULT_USER) {
+            self.session.control.store(true, Ordering::SeqCst);
             return Ok(());
         }
         let shared = &self.session.shared;
