Measure fleets of up to 3,400 VMs in virtual time

Cause: the control cost of one VM has to be known up to the two-year size. Ruled out: one process per VM, which no machine here could hold at 3,400. Change: chervildrift_bench fleet drives the membership, generation, burn and placement of every VM over delays and losses, and prints tables and fits. Before: no measurement.

--- a/chervildrift_bench/src/fleet/mod.rs
+++ b/chervildrift_bench/src/fleet/mod.rs
@@ -1,16 +1,66 @@
 //! Control cost of one VM in fleets of several sizes.
+//!
+//! Runs the core's membership, generation and burn of every VM in virtual time, with delays, lost
+//! datagrams and a platform, and prints Markdown tables of what one VM sends, computes and holds.
+
+mod calls;
+mod cost;
+mod fit;
+mod heap;
+mod link;
+mod placed;
+mod platform;
+mod run;
+mod table;
+mod vm;
+mod world;
+
+use std::time::Duration;
 
 use clap::Args as ClapArgs;
 
+use self::run::{Outcome, Plan};
+
 /// Options of the measurement.
 #[derive(Debug, ClapArgs)]
 pub struct Args {
     /// Seed of the run.
     #[arg(long, default_value_t = 1)]
     seed: u64,
+    /// Numbers of VMs to measure.
+    #[arg(long, value_delimiter = ',', default_values_t = [10, 100, 1_000, 3_400])]
+    sizes: Vec<usize>,
+    /// Virtual seconds per size, shared by the five phases.
+    #[arg(long, default_value_t = 100)]
+    seconds: u64,
+    /// Percentage of datagrams lost, except in the first phase.
+    #[arg(long, default_value_t = 5)]
+    loss_percent: u64,
+    /// Size of the configuration bundle in KB.
+    #[arg(long, default_value_t = 64)]
+    bundle_kb: usize,
+    /// Milliseconds between two probes of one VM in its availability zone.
+    #[arg(long, default_value_t = 100)]
+    probe_ms: u64,
 }
 
-/// Runs the measurement and prints its table.
+/// Runs the measurement and prints its tables.
 pub fn run(args: &Args) {
-    println!("no measurement yet (seed {})", args.seed);
+    let outcomes: Vec<Outcome> = args.sizes.iter().map(|size| measure(args, *size)).collect();
+    table::print(&outcomes);
+}
+
+fn measure(args: &Args, size: usize) -> Outcome {
+    let plan = Plan {
+        size,
+        seed: args.seed,
+        phase: Duration::from_secs(args.seconds) / run::PHASES,
+        loss: args.loss_percent,
+        bundle: args.bundle_kb * 1024,
+        probe: Duration::from_millis(args.probe_ms),
+    };
+    let started = std::time::Instant::now();
+    let outcome = run::run(&plan);
+    eprintln!("{size} VMs: {:.1} s", started.elapsed().as_secs_f64());
+    outcome
 }
--- /dev/null
+++ b/chervildrift_bench/src/fleet/vm.rs
@@ -0,0 +1,132 @@
+//! One VM: its membership, generation and burn.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervildrift_core::burn::{Burn, Limits as BurnLimits, Series};
+use chervildrift_core::generation::{Generations, Limits as GenerationLimits};
+use chervildrift_core::membership::{Change, Limits, Me, Membership, Place, State};
+use chervildrift_core::placement::Placement;
+use chervildrift_core::rng::Rng;
+use chervildrift_core::types::{Kind, Rank, Service, Vm, Zone};
+
+/// Services of the two-year size: 7,400 databases in groups of three, three instances each.
+const SERVICES: usize = 820;
+
+/// VMs of the two-year size.
+const FLEET: usize = 3_400;
+
+/// Services that one VM dispatches for: 22,200 upstreams over 3,400 VMs.
+const DISPATCHED: usize = 7;
+
+/// Kinds counted per service.
+const KINDS: usize = 3;
+
+/// Whether the process of a VM runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Process {
+    Runs,
+    Frozen,
+    Ended,
+}
+
+/// One VM.
+#[derive(Debug)]
+pub struct Node {
+    pub name: Vm,
+    pub membership: Membership,
+    pub generations: Generations,
+    pub burn: Burn,
+    pub placement: Placement,
+    pub series: Vec<Series>,
+    pub boot: u64,
+    pub process: Process,
+    pub poller: bool,
+    pub moved: bool,
+}
+
+impl Node {
+    pub fn open(index: usize, zone: &Zone, boot: u64, seed: u64, probe: Duration) -> Self {
+        let me = Me {
+            vm: name(index),
+            place: place(index, zone),
+            boot,
+        };
+        let limits = Limits {
+            probe_period: probe,
+            ..Limits::default()
+        };
+        let mut rng = Rng::open(seed);
+        let generations = Generations::open(Rng::open(rng.next()), GenerationLimits::default());
+        Self {
+            burn: Burn::open(me.vm.clone(), boot, BurnLimits::default()),
+            name: me.vm.clone(),
+            membership: Membership::open(me, rng, limits),
+            generations,
+            placement: Placement::open(),
+            series: Vec::new(),
+            boot,
+            process: Process::Runs,
+            poller: false,
+            moved: false,
+        }
+    }
+
+    /// Chooses the services that the VM dispatches for.
+    pub fn assign(&mut self, size: usize, index: usize) {
+        let services = (SERVICES * size / FLEET).max(1);
+        let chosen = (0..DISPATCHED.min(services)).map(|turn| (index * 31 + turn * 97) % services);
+        let series = |service: usize, kind: usize| Series {
+            service: Service::from(format!("service-{service}")),
+            kind: Kind::from(format!("kind-{kind}")),
+            rank: Rank::ALL[kind % Rank::COUNT],
+        };
+        self.series = chosen
+            .flat_map(|service| (0..KINDS).map(move |kind| series(service, kind)))
+            .collect();
+    }
+
+    pub const fn runs(&self) -> bool {
+        matches!(self.process, Process::Runs)
+    }
+
+    /// Returns what the other VMs know of this one at the start.
+    pub fn change(&self, index: usize, zone: &Zone) -> Change {
+        Change {
+            vm: self.name.clone(),
+            incarnation: self.membership.incarnation(),
+            state: State::Alive,
+            place: Some(place(index, zone)),
+        }
+    }
+}
+
+pub fn name(index: usize) -> Vm {
+    Vm::from(format!("vm-{index:05}"))
+}
+
+pub fn index_of(vm: &Vm) -> Option<usize> {
+    vm.as_str().strip_prefix("vm-")?.parse().ok()
+}
+
+pub fn place(index: usize, zone: &Zone) -> Place {
+    Place {
+        zone: zone.clone(),
+        address: address(index),
+    }
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    let (high, low) = ((index / 250) as u8, (index % 250) as u8);
+    SocketAddr::from(([10, 0, high, low], 7_000))
+}
+
+pub fn index_at(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(v4) => {
+            let [_, _, high, low] = v4.ip().octets();
+            Some(usize::from(high) * 250 + usize::from(low))
+        }
+        SocketAddr::V6(_) => None,
+    }
+}
--- a/chervildrift_core/src/generation/limits.rs
+++ b/chervildrift_core/src/generation/limits.rs
@@ -38,7 +38,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            tick: Duration::from_millis(25),
+            tick: Duration::from_millis(100),
             poll_period: Duration::from_millis(500),
             idle_period: Duration::from_secs(120),
             read_wait: Duration::from_secs(2),
--- a/chervildrift_core/src/placement/cache.rs
+++ b/chervildrift_core/src/placement/cache.rs
@@ -109,6 +109,18 @@
         self.cache.get(upstream).map_or(&[], |entry| &entry.order)
     }
 
+    /// Returns the VMs with the greatest weights for any other key, greatest first, among those of
+    /// `zone` or of all availability zones.
+    #[must_use]
+    pub fn best(&self, key: &str, zone: Option<&Zone>) -> SmallVec<[Vm; KEPT]> {
+        let key = digest(key);
+        let sites = self
+            .sites
+            .iter()
+            .filter(|(at, _)| zone.is_none_or(|zone| *at == zone));
+        greatest(key, sites.flat_map(|(_, site)| &site.nodes))
+    }
+
     /// Forgets an upstream that is no longer declared.
     pub fn forget(&mut self, upstream: &Upstream) {
         self.cache.remove(upstream);
--- a/chervildrift_core/src/placement/mod.rs
+++ b/chervildrift_core/src/placement/mod.rs
@@ -70,18 +70,32 @@
         .or_else(|| first(upstream.as_str(), live.into_iter().map(|(vm, _)| vm)))
 }
 
+/// Returns the key by which the pollers of `zone` are chosen.
+#[must_use]
+pub fn poller_key(zone: &Zone) -> String {
+    format!("poller/{zone}")
+}
+
+/// Returns the key by which the aggregator of `service` is chosen.
+#[must_use]
+pub fn aggregator_key(service: &Service) -> String {
+    format!("burn/{service}")
+}
+
 /// Returns the VMs of `zone` that poll the platform's head record.
 #[must_use]
 pub fn pollers<'a>(
     zone: &Zone,
     members: impl IntoIterator<Item = &'a Vm>,
 ) -> SmallVec<[Vm; POLLERS]> {
-    let key = format!("poller/{zone}");
-    rank(&key, members).into_iter().take(POLLERS).collect()
+    rank(&poller_key(zone), members)
+        .into_iter()
+        .take(POLLERS)
+        .collect()
 }
 
 /// Returns the VM that merges the burn counters of `service`.
 #[must_use]
 pub fn aggregator<'a>(service: &Service, live: impl IntoIterator<Item = &'a Vm>) -> Option<&'a Vm> {
-    first(&format!("burn/{service}"), live)
+    first(&aggregator_key(service), live)
 }
