Measure primary changes under writes

Cause: the targets of failover (gap of 3 s at most, nothing confirmed lost or doubled) had no figures, nor had the alternatives to majority confirmation. Change: bench failover with four rules, two latencies, both replicas behind, and detection time against false changes. Callers of the randomised runs give up after times of different length.

--- /dev/null
+++ b/chervildrift_bench/src/failover/changes.rs
@@ -0,0 +1,132 @@
+//! A series of primary changes, each caused by a fault.
+
+use std::time::Duration;
+
+use chervildrift_core::rng::Rng;
+use chervildrift_core::types::Time;
+use chervildrift_model::{Fault, Network, Party, Rule, World};
+
+use super::figures::{Figures, record};
+use super::{VMS, options};
+
+/// Changes in one world; the log stays short enough to be checked as a whole.
+const CHANGES_PER_WORLD: usize = 10;
+
+/// Time without faults before each change.
+const CALM: Duration = Duration::from_secs(2);
+
+/// Length of a fault.
+const OUTAGE: Duration = Duration::from_secs(8);
+
+/// Time in which all writes get an outcome after the last fault.
+const SETTLE: Duration = Duration::from_secs(12);
+
+/// Runs a series of changes under one rule.
+pub(super) fn run(seed: u64, changes: usize, rule: Rule, latency: Duration) -> Figures {
+    let mut figures = Figures::open();
+    let mut done = 0;
+    while done < changes {
+        let count = CHANGES_PER_WORLD.min(changes - done);
+        let mut world = World::open(options(seed + done as u64, rule, latency));
+        let mut rng = Rng::open(seed ^ done as u64);
+        world.run_for(CALM);
+        for index in 0..count {
+            change(&mut world, &mut rng, done + index, &mut figures);
+        }
+        finish(&mut world, &mut figures);
+        done += count;
+    }
+    figures
+}
+
+fn change(world: &mut World, rng: &mut Rng, number: usize, figures: &mut Figures) {
+    let calm = world.ledger.latencies.len();
+    world.run_for(CALM + rng.jitter(CALM / 4));
+    for &latency in &world.ledger.latencies[calm..] {
+        record(&mut figures.calm, latency);
+    }
+    let Some(primary) = world.primary() else {
+        figures.unreplaced += 1;
+        return;
+    };
+    let start = world.now;
+    for fault in faults(number, primary) {
+        world.inject(fault);
+    }
+    world.run_for(OUTAGE);
+    note(world, start, figures);
+    world.heal();
+}
+
+/// Returns the faults of a change; every second one comes with a second fault.
+fn faults(number: usize, primary: usize) -> Vec<Fault> {
+    let me = Party::Upstream(primary);
+    let first = match number % 4 {
+        0 => Fault::Crash(me, OUTAGE),
+        1 => Fault::Freeze(me, OUTAGE),
+        2 => Fault::Cut(me, cut_off(primary), OUTAGE),
+        _ => Fault::Cut(me, everyone(primary), OUTAGE),
+    };
+    let vm = Party::Vm(number / 4 % VMS);
+    let second = match number / 4 % 4 {
+        0 => Some(Fault::Crash(vm, OUTAGE)),
+        1 => Some(Fault::Freeze(vm, OUTAGE)),
+        _ => None,
+    };
+    std::iter::once(first).chain(second).collect()
+}
+
+/// Returns the parties of the primary's availability zone and the other upstreams.
+///
+/// VMs of the other availability zones still reach the primary, and so do their callers.
+fn cut_off(primary: usize) -> Vec<Party> {
+    let zone = Network::zone(Party::Upstream(primary));
+    let near = (0..VMS)
+        .map(Party::Vm)
+        .filter(|&vm| Network::zone(vm) == zone);
+    others(primary).chain(near).collect()
+}
+
+fn everyone(primary: usize) -> Vec<Party> {
+    others(primary).chain((0..VMS).map(Party::Vm)).collect()
+}
+
+fn others(primary: usize) -> impl Iterator<Item = Party> {
+    let upstreams = (0..3).filter(move |&index| index != primary);
+    upstreams.map(Party::Upstream)
+}
+
+fn note(world: &World, start: Time, figures: &mut Figures) {
+    let ledger = &world.ledger;
+    let mut later = ledger.changes.iter().filter(|change| change.taken > start);
+    let change = later.find(|change| change.acked.is_some());
+    let Some((change, acked)) = change.and_then(|change| Some((change, change.acked?))) else {
+        figures.unreplaced += 1;
+        return;
+    };
+    figures.changes += 1;
+    let last = ledger.acked_before(start).unwrap_or(start);
+    record(&mut figures.gap, acked.since(last));
+    record(&mut figures.detection, change.checked.since(start));
+    record(
+        &mut figures.agreement,
+        change.promoting.since(change.checked),
+    );
+    record(&mut figures.promotion, acked.since(change.promoting));
+}
+
+fn finish(world: &mut World, figures: &mut Figures) {
+    world.run_for(CALM);
+    world.set_writing(false);
+    world.run_for(SETTLE);
+    figures.acked += world.ledger.acked();
+    figures.unknown += world.ledger.unknown;
+    figures.open += world.open_writes();
+    if let Some(index) = world.primary() {
+        let World { ledger, nodes, .. } = world;
+        figures.lost += ledger.lost(&nodes[index]);
+        figures.doubled += ledger.doubled(nodes[index].log());
+        ledger.settle(&nodes[index]);
+    }
+    figures.violations += world.ledger.violations.len();
+}
--- /dev/null
+++ b/chervildrift_bench/src/failover/detection.rs
@@ -0,0 +1,81 @@
+//! Detection time against false failovers.
+
+use std::time::Duration;
+
+use chervildrift_core::failover::Limits;
+use chervildrift_model::{Fault, Party, Rule, World};
+
+use super::figures::{histogram, record, spread};
+use super::options;
+
+/// Detection times that are compared, in milliseconds.
+const DETECTIONS: [u64; 8] = [100, 200, 300, 450, 600, 900, 1_200, 1_800];
+
+/// Networks that are compared: share of lost messages and share of messages late by up to 400 ms.
+const NETWORKS: [(f64, f64); 4] = [(0.0, 0.0), (0.05, 0.1), (0.15, 0.3), (0.3, 0.5)];
+
+/// Time without any fault of the primary.
+const WATCHED: Duration = Duration::from_secs(600);
+
+/// Primary crashes for the gap at each detection time.
+const CRASHES: u64 = 20;
+
+/// Prints the curve.
+pub(super) fn run(seed: u64, latency: Duration) {
+    let columns = NETWORKS.map(|(loss, slow)| {
+        format!(
+            "False changes in 10 min, {:.0}% lost, {:.0}% late",
+            loss * 100.0,
+            slow * 100.0
+        )
+    });
+    println!(
+        "| Detection | {} | Gap of a crash p50/p99/max |",
+        columns.join(" | ")
+    );
+    println!("|{}", " --- |".repeat(NETWORKS.len() + 2));
+    for millis in DETECTIONS {
+        let detection = Duration::from_millis(millis);
+        let counts = NETWORKS.map(|network| false_changes(seed, latency, detection, network));
+        let counts = counts.map(|count| count.to_string());
+        let gap = gap(seed, latency, detection);
+        println!("| {millis} ms | {} | {gap} |", counts.join(" | "));
+    }
+}
+
+fn open(seed: u64, latency: Duration, detection: Duration, network: (f64, f64)) -> World {
+    let mut options = options(seed, Rule::Majority, latency);
+    options.limits = Limits {
+        detection,
+        poll: Limits::default().poll.min(detection / 6),
+        ..Limits::default()
+    };
+    (options.network.loss, options.network.slow) = network;
+    options.network.tail = Duration::from_millis(400);
+    options.write_pause = Duration::from_millis(100);
+    World::open(options)
+}
+
+fn false_changes(seed: u64, latency: Duration, detection: Duration, network: (f64, f64)) -> usize {
+    let mut world = open(seed, latency, detection, network);
+    world.run_for(Duration::from_secs(10));
+    let before = world.ledger.changes.len();
+    world.run_for(WATCHED);
+    world.ledger.changes.len() - before
+}
+
+fn gap(seed: u64, latency: Duration, detection: Duration) -> String {
+    let mut gaps = histogram();
+    for case in 0..CRASHES {
+        let mut world = open(seed + case, latency, detection, (0.0, 0.0));
+        world.run_for(Duration::from_secs(4));
+        let start = world.now;
+        let primary = Party::Upstream(world.primary().unwrap_or(0));
+        world.inject(Fault::Crash(primary, Duration::from_secs(20)));
+        world.run_for(Duration::from_secs(10));
+        if let Some(resumed) = world.ledger.acked_after(start + Duration::from_millis(50)) {
+            record(&mut gaps, resumed.since(start));
+        }
+    }
+    spread(&gaps)
+}
--- /dev/null
+++ b/chervildrift_bench/src/failover/figures.rs
@@ -0,0 +1,100 @@
+//! Figures of one rule and their table.
+
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+
+/// Figures of one rule.
+#[derive(Debug)]
+pub(super) struct Figures {
+    pub(super) changes: usize,
+    pub(super) unreplaced: usize,
+    pub(super) acked: usize,
+    pub(super) lost: usize,
+    pub(super) doubled: usize,
+    pub(super) unknown: u64,
+    pub(super) open: usize,
+    pub(super) violations: usize,
+    pub(super) gap: Histogram<u64>,
+    pub(super) detection: Histogram<u64>,
+    pub(super) agreement: Histogram<u64>,
+    pub(super) promotion: Histogram<u64>,
+    pub(super) calm: Histogram<u64>,
+}
+
+impl Figures {
+    pub(super) fn open() -> Self {
+        Self {
+            changes: 0,
+            unreplaced: 0,
+            acked: 0,
+            lost: 0,
+            doubled: 0,
+            unknown: 0,
+            open: 0,
+            violations: 0,
+            gap: histogram(),
+            detection: histogram(),
+            agreement: histogram(),
+            promotion: histogram(),
+            calm: histogram(),
+        }
+    }
+
+    /// Prints the table of all rules.
+    pub(super) fn print(measured: &[(&str, Self)]) {
+        println!(
+            "| Rule | Changes | No change in 8 s | Acknowledged | Lost | Doubled | Unknown at first \
+             | Never settled | Broken invariants | Gap p50/p99/max | Detection p50/p99/max \
+             | Agreement p50/p99/max | Promotion p50/p99/max | Write latency p50/p99 |"
+        );
+        println!("|{}", " --- |".repeat(14));
+        for (name, figures) in measured {
+            figures.print_row(name);
+        }
+    }
+
+    fn print_row(&self, name: &str) {
+        println!(
+            "| {name} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} | {} / {} |",
+            self.changes,
+            self.unreplaced,
+            self.acked,
+            self.lost,
+            self.doubled,
+            self.unknown,
+            self.open,
+            self.violations,
+            spread(&self.gap),
+            spread(&self.detection),
+            spread(&self.agreement),
+            spread(&self.promotion),
+            millis(self.calm.value_at_quantile(0.5)),
+            millis(self.calm.value_at_quantile(0.99)),
+        );
+    }
+}
+
+/// Records a duration in microseconds.
+pub(super) fn record(histogram: &mut Histogram<u64>, span: Duration) {
+    histogram.saturating_record(span.as_micros() as u64);
+}
+
+/// Opens a histogram of microseconds up to 100 s.
+pub(super) fn histogram() -> Histogram<u64> {
+    // The bounds are constants that the library accepts; the fallback adapts its range by itself.
+    Histogram::new_with_bounds(1, 100_000_000, 3)
+        .or_else(|_bounds| Histogram::new(3))
+        .unwrap_or_else(|_digits| unreachable!("three digits are allowed"))
+}
+
+/// Returns the median, the 99th percentile and the maximum as text.
+pub(super) fn spread(histogram: &Histogram<u64>) -> String {
+    let [p50, p99] = [0.5, 0.99].map(|quantile| millis(histogram.value_at_quantile(quantile)));
+    format!("{p50} / {p99} / {}", millis(histogram.max()))
+}
+
+/// Returns microseconds as text in milliseconds.
+fn millis(micros: u64) -> String {
+    format!("{:.1} ms", micros as f64 / 1_000.0)
+}
--- a/chervildrift_bench/src/model/callers.rs
+++ b/chervildrift_bench/src/model/callers.rs
@@ -55,8 +55,9 @@
             return;
         };
         self.next_key += 1;
-        self.ledger.started += 1;
-        let write = Write::open(self.next_key, self.now + self.options.patience);
+        self.ledger.begin(self.now, self.next_key);
+        let patience = self.options.patience + self.rng.jitter(self.options.patience_spread);
+        let write = Write::open(self.next_key, self.now + patience);
         self.start(vm, write);
     }
 
--- a/chervildrift_bench/src/model/ledger.rs
+++ b/chervildrift_bench/src/model/ledger.rs
@@ -1,6 +1,7 @@
 //! What really happened in a run, and the invariants it is held against.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use chervildrift_core::types::{Mark, Term, Time};
 
@@ -49,6 +50,9 @@
     pub unknown: u64,
     /// Reads served under a token.
     pub served: u64,
+    /// Times from the start of a write to its acknowledgement.
+    pub latencies: Vec<Duration>,
+    begun: HashMap<u64, Time>,
     pub(super) acks: Vec<Ack>,
     not_run: Vec<u64>,
     terms: BTreeMap<Term, usize>,
@@ -111,6 +115,11 @@
         self.require(ran == 0, || format!("{ran} writes ran after \"not run\""));
     }
 
+    pub(super) fn begin(&mut self, now: Time, key: u64) {
+        self.started += 1;
+        self.begun.insert(key, now);
+    }
+
     pub(super) fn ack(&mut self, at: Time, key: u64, mark: Mark, since: Time) {
         let replaced = self
             .changes
@@ -122,6 +131,8 @@
             format!("write {key} at {mark} acknowledged by a replaced primary at {at}")
         });
         self.acks.push(Ack { key, at });
+        let begun = self.begun.remove(&key);
+        self.latencies.extend(begun.map(|begun| at.since(begun)));
         if let Some(change) = self.changes.iter_mut().rfind(|c| c.term == mark.term) {
             change.acked.get_or_insert(at);
         }
--- a/chervildrift_bench/src/model/network.rs
+++ b/chervildrift_bench/src/model/network.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use chervildrift_core::rng::Rng;
+use clap::ValueEnum;
 
 use super::message::Party;
 
@@ -10,7 +11,7 @@
 const ZONES: usize = 3;
 
 /// One of the two deployments of the design page.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq, ValueEnum)]
 pub enum Deployment {
     /// Booking pool for farms' machines.
     Federation,
--- a/chervildrift_bench/src/model/world.rs
+++ b/chervildrift_bench/src/model/world.rs
@@ -41,8 +41,10 @@
     pub network: Network,
     /// Mean time between two writes.
     pub write_pause: Duration,
-    /// Time after which a caller gives up a write.
+    /// Shortest time after which a caller gives up a write.
     pub patience: Duration,
+    /// Spread of that time above the shortest.
+    pub patience_spread: Duration,
 }
 
 /// A group, its VMs and its callers in virtual time.
