Measure the share of reads served by replicas

Cause: the target of 95% of the reads that a replica may serve had no figure. Ruled out: a count against all reads, because a replica that lags by minutes may serve none of the reads of a session that wrote lately.

--- /dev/null
+++ b/chervildrift_bench/src/reads/policy.rs
@@ -0,0 +1,125 @@
+//! Policies that choose the upstream of a read.
+
+use std::fmt;
+use std::time::Duration;
+
+use chervildrift_core::route::{Ranked, Request, Route, choose};
+use chervildrift_core::types::{Mark, Rank, Time, Vm, Zone};
+
+use super::replicas::Replicas;
+
+/// Policy that chooses the upstream of a read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Policy {
+    /// The session token and the declared age.
+    Token,
+    /// The primary for a fixed time after the session's write, any replica otherwise.
+    Pinned(Duration),
+    /// Replicas by round robin, checked there; the primary when the check fails.
+    RoundRobin,
+}
+
+impl Policy {
+    /// Policies that are compared.
+    pub(super) const ALL: [Self; 4] = [
+        Self::Token,
+        Self::Pinned(Duration::from_secs(1)),
+        Self::Pinned(Duration::from_secs(10)),
+        Self::RoundRobin,
+    ];
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Token => f.write_str("session token"),
+            Self::Pinned(span) => write!(f, "primary for {span:?} after a write"),
+            Self::RoundRobin => f.write_str("round robin with fallback"),
+        }
+    }
+}
+
+/// How a read was served.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Served {
+    pub(super) upstream: usize,
+    pub(super) applied: Mark,
+    pub(super) waited: bool,
+    pub(super) second_trip: bool,
+    pub(super) time: Duration,
+}
+
+/// Serves a read by a policy.
+pub(super) fn serve(
+    policy: Policy,
+    now: Time,
+    token: Option<(Mark, Time)>,
+    age: Duration,
+    turn: usize,
+    replicas: &Replicas,
+) -> Served {
+    let mark = token.map(|(mark, _written)| mark);
+    let replica = 1 + turn % 2;
+    match policy {
+        Policy::Token => by_token(now, mark, age, replicas),
+        Policy::Pinned(span) => {
+            let pinned = token.is_some_and(|(_mark, written)| now.since(written) < span);
+            direct(now, if pinned { 0 } else { replica }, replicas)
+        }
+        Policy::RoundRobin => {
+            let serves = replicas.may_serve(now, replica, mark, age);
+            if serves {
+                direct(now, replica, replicas)
+            } else {
+                fall_back(now, replica, Duration::ZERO, replicas)
+            }
+        }
+    }
+}
+
+fn by_token(now: Time, token: Option<Mark>, age: Duration, replicas: &Replicas) -> Served {
+    let request = Request {
+        write: false,
+        rank: Rank::Bulk,
+        token,
+        max_age: Some(age),
+        deadline: now + Duration::from_secs(2),
+        zone: &Zone::from("slt-a"),
+    };
+    let vms: Ranked = std::iter::once(Vm::from("vm")).collect();
+    let ranked = [vms.clone(), vms.clone(), vms];
+    let Route::Forward(path) = choose(now, &request, replicas.cache(), &ranked) else {
+        return direct(now, 0, replicas);
+    };
+    if path.upstream == 0 {
+        return direct(now, 0, replicas);
+    }
+    // The check runs on the replica's connection, like the read.
+    match replicas.covered_in(now, path.upstream, token, path.wait) {
+        Some(waited) => Served {
+            waited: !waited.is_zero(),
+            time: replicas.distance(path.upstream) + waited,
+            ..direct(now + waited, path.upstream, replicas)
+        },
+        None => fall_back(now, path.upstream, path.wait, replicas),
+    }
+}
+
+fn direct(now: Time, upstream: usize, replicas: &Replicas) -> Served {
+    Served {
+        upstream,
+        applied: replicas.applied(now, upstream),
+        waited: false,
+        second_trip: false,
+        time: replicas.distance(upstream),
+    }
+}
+
+fn fall_back(now: Time, tried: usize, waited: Duration, replicas: &Replicas) -> Served {
+    let primary = direct(now + waited, 0, replicas);
+    Served {
+        second_trip: true,
+        time: primary.time + replicas.distance(tried) + waited,
+        ..primary
+    }
+}
