Add the flood model, the slot reserve and the throttle of entries

Cause: the targets for floods had no measurement, and bulk statements that are long keep urgent jobs waiting when a deployment has 3 or 5 slots. Change: floods subcommand; Policy.reserve as a part of slot time; limit::Throttle by upstream and kind; Policy.adaptive; shorter windows of the adaptive limit.

--- /dev/null
+++ b/chervildrift_bench/src/floods/dispatcher.rs
@@ -0,0 +1,156 @@
+//! One dispatcher with its upstream.
+
+use std::time::Duration;
+
+use chervildrift_core::dispatch::{Finish, Job, JobId, JobIds, Load, Refusal, Scheduler};
+use chervildrift_core::types::{Caller, Kind, Time};
+
+use super::breaker::Breaker;
+use super::deployment::Deployment;
+use super::load::Request;
+use super::variant::{ANY, Variant};
+
+/// Time that a dispatcher's event loop spends on one forwarded request.
+///
+/// It follows from the target of 50,000 forwarded requests a second.
+const FORWARD_COST: Duration = Duration::from_micros(20);
+
+/// Time after which an unanswered statement counts as failed.
+const STATEMENT_TIMEOUT_US: f64 = 250_000.0;
+
+/// Part by which each statement beyond half of the slots slows a slow upstream.
+const CONTENTION: f64 = 2.0;
+
+/// Deadline of work that is run whether or not it is late.
+const NEVER: Time = Time(u64::MAX / 2);
+
+/// What is wrong with all upstreams.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Fault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Statements beyond half of the slots slow each other down.
+    Slow,
+    /// No statement is answered.
+    Silent,
+    /// Statements fail at once.
+    Failing,
+}
+
+/// A dispatcher, its scheduler and its upstream.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    scheduler: Scheduler,
+    variant: Variant,
+    slots: usize,
+    kinds: Vec<Kind>,
+    callers: Vec<Caller>,
+    breaker: Breaker,
+    running: usize,
+    /// When the event loop is free again.
+    idle: Time,
+    /// Time of the next wake-up that is planned.
+    pub wake: Option<Time>,
+}
+
+impl Dispatcher {
+    /// Opens an idle dispatcher.
+    pub fn open(deployment: &Deployment, variant: Variant) -> Self {
+        let callers = (0..deployment.callers).map(|at| Caller::from(format!("caller-{at}")));
+        let kinds = deployment.works.iter().map(|work| work.kind.clone());
+        Self {
+            scheduler: Scheduler::open(&variant.policy(&deployment.policy)),
+            variant,
+            slots: deployment.policy.slots,
+            kinds: kinds.collect(),
+            callers: callers.collect(),
+            breaker: Breaker::open(),
+            running: 0,
+            idle: Time::default(),
+            wake: None,
+        }
+    }
+
+    /// Returns when the event loop gets to a request that arrives now.
+    pub fn receive(&mut self, now: Time) -> Time {
+        self.idle = self.idle.max(now) + FORWARD_COST;
+        self.idle
+    }
+
+    /// Offers a request to the scheduler; false if it is refused.
+    pub fn submit(&mut self, now: Time, id: usize, request: &Request, hop: Duration) -> bool {
+        if self.variant.breaker && !self.breaker.pass(now) {
+            return false;
+        }
+        let refused = self.scheduler.submit(now, self.job(id, request, hop));
+        if let Err(refusal) = &refused {
+            assert!(!matches!(
+                refusal,
+                Refusal::DuplicateId(_) | Refusal::UnknownKind(_)
+            ));
+            self.breaker.untried(now);
+        }
+        refused.is_ok()
+    }
+
+    /// Returns the next request to run, if a slot is free.
+    pub fn next(&mut self, now: Time) -> Option<usize> {
+        let JobId(id) = self.scheduler.next(now)?;
+        self.running += 1;
+        assert!(self.running <= self.slots, "more statements run than slots");
+        Some(id as usize)
+    }
+
+    /// Returns how long a statement that starts now takes.
+    pub fn service(&self, request: &Request, fault: Fault) -> Duration {
+        let crowd = self.running as f64 - self.slots as f64 / 2.0;
+        let micros = match fault {
+            Fault::None => request.service,
+            Fault::Slow => request.service * (1.0 + CONTENTION * crowd.max(0.0)),
+            Fault::Silent => STATEMENT_TIMEOUT_US,
+            Fault::Failing => request.service / 2.0,
+        };
+        Duration::from_micros(micros.max(1.0) as u64)
+    }
+
+    /// Frees the slot of a request.
+    pub fn finish(&mut self, now: Time, id: usize, failed: bool) {
+        self.running -= 1;
+        self.breaker.answer(now, failed);
+        let finish = if failed { Finish::Failed } else { Finish::Done };
+        self.scheduler.finish(now, JobId(id as u64), finish);
+    }
+
+    /// Returns the requests that can no longer finish in time.
+    pub fn expire(&mut self, now: Time) -> JobIds {
+        let expired = self.scheduler.expire(now);
+        if !expired.is_empty() {
+            self.breaker.untried(now);
+        }
+        expired
+    }
+
+    /// Returns when the scheduler wants to be called again.
+    pub fn due(&self, now: Time) -> Option<Time> {
+        self.scheduler.due(now)
+    }
+
+    /// Returns the load by rank.
+    pub fn load(&self) -> Load {
+        self.scheduler.load()
+    }
+
+    fn job(&self, id: usize, request: &Request, hop: Duration) -> Job {
+        let fifo = self.variant.fifo;
+        let caller = if fifo { 0 } else { request.caller as usize };
+        let kind = &self.kinds[request.work];
+        let due = Time(request.deadline.0.saturating_sub(hop.as_micros() as u64));
+        Job {
+            id: JobId(id as u64),
+            kind: if fifo { Kind::from(ANY) } else { kind.clone() },
+            caller: self.callers[caller].clone(),
+            deadline: if self.variant.late { NEVER } else { due },
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_bench/src/floods/load.rs
@@ -0,0 +1,105 @@
+//! Arrivals and service times.
+
+use std::time::Duration;
+
+use chervildrift_core::rng::Rng;
+use chervildrift_core::types::{Rank, Time};
+
+use super::deployment::Deployment;
+
+/// Spread of service times: the standard deviation of their logarithm.
+///
+/// The 99th percentile is then 2.8 times the mean.
+const SIGMA: f64 = 0.5;
+
+/// Load of each rank as a share of all slots.
+pub type Loads = [f64; Rank::COUNT];
+
+/// One request.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    /// Index of the kind of work.
+    pub work: usize,
+    /// Rank of the kind.
+    pub rank: Rank,
+    /// Number of the caller.
+    pub caller: u64,
+    /// Entry that took the request.
+    pub entry: usize,
+    /// Upstream that it needs.
+    pub upstream: usize,
+    /// Time of arrival.
+    pub arrived: Time,
+    /// Deadline.
+    pub deadline: Time,
+    /// Service time at a healthy upstream, in microseconds.
+    pub service: f64,
+    /// Start of its slot, once it has one.
+    pub started: Time,
+}
+
+/// Makes requests at random times.
+#[derive(Clone, Debug)]
+pub struct Generator {
+    rng: Rng,
+    rates: [f64; Rank::COUNT],
+}
+
+impl Generator {
+    /// Opens a generator of `loads`.
+    pub fn open(seed: u64, deployment: &Deployment, loads: &Loads) -> Self {
+        let rate = |rank: Rank| loads[rank.index()] * deployment.slots() / deployment.mean(rank);
+        Self {
+            rng: Rng::open(seed),
+            rates: Rank::ALL.map(rate),
+        }
+    }
+
+    /// Returns the time to the next request of `rank`.
+    pub fn gap(&mut self, rank: Rank) -> Option<Duration> {
+        let rate = self.rates[rank.index()];
+        (rate > 0.0).then(|| Duration::from_secs_f64(-(1.0 - self.rng.unit()).ln() / rate))
+    }
+
+    /// Makes a request of `rank`.
+    pub fn request(&mut self, now: Time, rank: Rank, deployment: &Deployment) -> Request {
+        let work = self.work(rank, deployment);
+        let mean = deployment.works[work].service.as_micros() as f64;
+        let unit = self.rng.unit();
+        Request {
+            work,
+            rank,
+            // The square makes a few callers ask much more often than most.
+            caller: (unit * unit * deployment.callers as f64) as u64,
+            entry: self.rng.below(deployment.entries as u64) as usize,
+            upstream: self.rng.below(deployment.upstreams as u64) as usize,
+            arrived: now,
+            deadline: now + deployment.deadlines[rank.index()],
+            service: mean * self.spread(),
+            started: Time::default(),
+        }
+    }
+
+    fn work(&mut self, rank: Rank, deployment: &Deployment) -> usize {
+        let mut left = self.rng.unit();
+        let mut last = 0;
+        for (at, work) in deployment.works.iter().enumerate() {
+            if work.rank != rank {
+                continue;
+            }
+            last = at;
+            left -= work.part;
+            if left < 0.0 {
+                break;
+            }
+        }
+        last
+    }
+
+    /// Returns a log-normal factor of mean 1.
+    fn spread(&mut self) -> f64 {
+        let radius = (-2.0 * (1.0 - self.rng.unit()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * self.rng.unit()).cos();
+        (SIGMA * normal - SIGMA * SIGMA / 2.0).exp()
+    }
+}
--- /dev/null
+++ b/chervildrift_bench/src/floods/outcome.rs
@@ -0,0 +1,98 @@
+//! What a run counted.
+
+use chervildrift_core::types::{Rank, Time};
+use hdrhistogram::Histogram;
+
+/// Counts of one rank.
+#[derive(Clone, Debug)]
+pub struct RankOutcome {
+    /// Requests that arrived.
+    pub offered: u64,
+    /// Requests answered within their deadline.
+    pub served: u64,
+    /// Requests answered after their deadline.
+    pub late: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Requests that the upstream failed.
+    pub failed: u64,
+    /// Slot time used, in microseconds.
+    pub used: u64,
+    /// Latency of answered requests in microseconds.
+    pub latency: Histogram<u64>,
+}
+
+impl RankOutcome {
+    fn open() -> Self {
+        Self {
+            offered: 0,
+            served: 0,
+            late: 0,
+            refused: 0,
+            failed: 0,
+            used: 0,
+            latency: histogram(),
+        }
+    }
+
+    /// Returns a quantile of the latency in milliseconds.
+    pub fn quantile(&self, part: f64) -> f64 {
+        self.latency.value_at_quantile(part) as f64 / 1e3
+    }
+
+    /// Returns the part of the offered requests that were answered within their deadline.
+    pub fn in_deadline(&self) -> f64 {
+        self.served as f64 / self.offered.max(1) as f64
+    }
+}
+
+/// Counts of one run.
+#[derive(Clone, Debug)]
+pub struct Outcome {
+    /// Counts by rank.
+    pub ranks: [RankOutcome; Rank::COUNT],
+    /// Slot time of requests answered within their deadline, in microseconds.
+    pub good: u64,
+    /// Slot time available, in microseconds.
+    pub capacity: u64,
+    /// Requests forwarded to dispatchers.
+    pub forwards: u64,
+    /// Start of the measured time.
+    pub from: Time,
+    /// End of the measured time.
+    pub to: Time,
+}
+
+impl Outcome {
+    /// Opens the counts of a run that is measured from `from` to `to` on `slots` slots.
+    pub fn open(from: Time, to: Time, slots: usize) -> Self {
+        Self {
+            ranks: std::array::from_fn(|_| RankOutcome::open()),
+            good: 0,
+            capacity: slots as u64 * (to.0 - from.0),
+            forwards: 0,
+            from,
+            to,
+        }
+    }
+
+    /// Tells whether `now` is measured.
+    pub fn measures(&self, now: Time) -> bool {
+        self.from <= now && now < self.to
+    }
+
+    /// Returns the part of the slot time that `rank` used.
+    pub fn share(&self, rank: Rank) -> f64 {
+        self.ranks[rank.index()].used as f64 / self.capacity as f64
+    }
+
+    /// Returns the part of the slot time that served requests within their deadline.
+    pub fn goodput(&self) -> f64 {
+        self.good as f64 / self.capacity as f64
+    }
+}
+
+fn histogram() -> Histogram<u64> {
+    // Three digits keep a tenth of a percent; an hour is far above any deadline.
+    Histogram::new_with_bounds(1, 3_600_000_000, 3).expect("the bounds are valid")
+}
--- /dev/null
+++ b/chervildrift_bench/src/floods/variant.rs
@@ -0,0 +1,62 @@
+//! The policy as designed and the alternatives that it is compared with.
+
+use std::time::Duration;
+
+use chervildrift_core::dispatch::{KindPolicy, Policy};
+use chervildrift_core::types::{Kind, Rank};
+
+/// Kind that stands for all work when there is only one queue.
+pub const ANY: &str = "any";
+
+/// What one run changes in the policy.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each alternative is switched on independently of the others"
+)]
+pub struct Variant {
+    /// One queue in order of arrival for all work.
+    pub fifo: bool,
+    /// Ranks without floors.
+    pub strict: bool,
+    /// Work is taken and run whether or not it can finish in time.
+    pub late: bool,
+    /// Entries forward all work, whatever the dispatcher's load.
+    pub unshed: bool,
+    /// Refused work is tried again until its deadline.
+    pub unbudgeted: bool,
+    /// The concurrency limit stays at the declared slots.
+    pub fixed: bool,
+    /// A circuit breaker stands before the scheduler.
+    pub breaker: bool,
+    /// Part of the slot time that may stay idle for urgent work, if not the declared one.
+    pub reserve: Option<f64>,
+}
+
+impl Variant {
+    /// Returns the rules of an upstream in this variant.
+    pub fn policy(&self, base: &Policy) -> Policy {
+        let mut policy = base.clone();
+        policy.adaptive = !self.fixed;
+        policy.reserve = self.reserve.unwrap_or(policy.reserve);
+        if self.strict {
+            policy.floors = [0.0; Rank::COUNT];
+        }
+        if self.fifo {
+            single_queue(&mut policy);
+        }
+        policy
+    }
+}
+
+/// Puts all work into one kind, whose only caller makes it a queue in order of arrival.
+fn single_queue(policy: &mut Policy) {
+    let services = policy.kinds.iter().map(|kind| kind.service);
+    let service = services.sum::<Duration>() / policy.kinds.len().max(1) as u32;
+    policy.kinds = vec![KindPolicy::new(Kind::from(ANY), Rank::Urgent, service)];
+    // One caller may fill half of a queue, so twice the sum leaves all of the queues' room.
+    let room = 2 * policy.queue_limits.iter().sum::<usize>();
+    policy.queue_limits = [room; Rank::COUNT];
+    policy.floors = [0.0; Rank::COUNT];
+    policy.reserve = 0.0;
+}
--- a/chervildrift_core/benches/dispatch_decision.rs
+++ b/chervildrift_core/benches/dispatch_decision.rs
@@ -91,8 +91,9 @@
         floors: [0.3, 0.2, 0.2],
         kinds: kinds.iter().enumerate().map(rules).collect(),
         window: WINDOW,
-        reserve: Duration::ZERO,
+        reserve: 0.1,
         ramp: RAMP,
+        adaptive: true,
     }
 }
 
--- a/chervildrift_core/src/dispatch/admit.rs
+++ b/chervildrift_core/src/dispatch/admit.rs
@@ -15,9 +15,6 @@
 /// One kind thus fills at most four fifths of the queue, which leaves room for the others.
 const KIND_SPREAD: usize = 4;
 
-/// Part of its limit that a queue is drained to before entries forward to it again.
-const LOW_MARK: f64 = 0.9;
-
 impl Scheduler {
     /// Returns the load by rank.
     #[must_use]
@@ -115,12 +112,10 @@
         let (wait, service) = waits
             .min_by_key(|(wait, plan)| *wait + *plan)
             .unwrap_or_default();
-        let limit = self.policy.queue_limits[rank.index()];
         RankLoad {
             queued: self.queued(rank),
             wait,
             service,
-            reopen: outlook.reopen(self.queued(rank), limit),
         }
     }
 }
@@ -146,14 +141,4 @@
         let limited = own / kind.rules.concurrency.max(1) as f64;
         Duration::from_micros((fair.max(limited) + self.residual) as u64)
     }
-
-    /// Returns the time until a queue has drained below its low mark.
-    fn reopen(&self, queued: usize, limit: usize) -> Duration {
-        let (queued, low) = (queued as f64, limit as f64 * LOW_MARK);
-        if queued <= low {
-            return Duration::ZERO;
-        }
-        let work = self.backlog * (queued - low) / queued;
-        Duration::from_micros((work / self.rate) as u64)
-    }
 }
--- a/chervildrift_core/src/dispatch/job.rs
+++ b/chervildrift_core/src/dispatch/job.rs
@@ -95,8 +95,6 @@
     pub wait: Duration,
     /// Shortest service time to plan with.
     pub service: Duration,
-    /// Time until the queue is clearly below its limit.
-    pub reopen: Duration,
 }
 
 impl RankLoad {
@@ -105,7 +103,7 @@
     /// `age` is the time since the load was reported; the queue is assumed to drain meanwhile.
     #[must_use]
     pub fn admits(&self, age: Duration, left: Duration) -> bool {
-        age >= self.reopen && self.wait.saturating_sub(age) + self.service <= left
+        self.wait.saturating_sub(age) + self.service <= left
     }
 }
 
--- a/chervildrift_core/src/dispatch/policy.rs
+++ b/chervildrift_core/src/dispatch/policy.rs
@@ -23,10 +23,12 @@
     pub kinds: Vec<KindPolicy>,
     /// Time constant over which the use of slots is measured.
     pub window: Duration,
-    /// Time for which the last free slot is kept from bulk work; zero keeps none.
-    pub reserve: Duration,
+    /// Part of all slot time that may stay idle to keep a slot free of long bulk statements.
+    pub reserve: f64,
     /// Time in which the slots open one by one after a failover.
     pub ramp: Duration,
+    /// Whether the concurrency limit goes below the slots when the upstream slows.
+    pub adaptive: bool,
 }
 
 /// Rules of one kind of work.
--- a/chervildrift_core/src/dispatch/scheduler.rs
+++ b/chervildrift_core/src/dispatch/scheduler.rs
@@ -206,7 +206,10 @@
     /// upstream has slowed.
     #[must_use]
     pub fn limit(&self) -> usize {
-        self.adaptive.limit()
+        if self.policy.adaptive {
+            return self.adaptive.limit();
+        }
+        self.policy.slots
     }
 
     /// Returns the number of jobs of `rank` that hold a slot.
--- a/chervildrift_core/src/dispatch/select.rs
+++ b/chervildrift_core/src/dispatch/select.rs
@@ -1,9 +1,20 @@
 //! Choice of the kind whose job gets the next free slot.
 
+use std::time::Duration;
+
 use super::gate::Gate;
+use super::kind::KindState;
 use super::scheduler::Scheduler;
 use crate::types::{Rank, Time};
 
+/// Service time, as a multiple of the longest urgent kind's, above which a bulk kind is long.
+///
+/// Shorter ones hold an urgent job up for less than the spread of its own service time does.
+const LONG: f64 = 3.0;
+
+/// Greatest part of the time for which one slot may be kept idle.
+const MOST_RESERVED: f64 = 0.9;
+
 impl Scheduler {
     /// Returns the kind to serve next, if any may be served now.
     pub(super) fn choose(&self, now: Time) -> Option<usize> {
@@ -13,18 +24,17 @@
             return first;
         }
         let below = self.most_below(&ready);
-        if below.is_some() {
-            return below;
-        }
-        first.filter(|kind| !self.kept(now, *kind))
+        below.or_else(|| first.filter(|kind| !self.kept(now, *kind)))
     }
 
-    /// Returns until when the last free slot is kept from waiting bulk work.
+    /// Returns when the last free slot next stops being kept from a kind that waits.
     pub(super) fn reserve_end(&self, now: Time) -> Option<Time> {
-        let end = self.spare + self.policy.reserve;
-        let waiting = self.queued(Rank::Bulk) > 0;
-        let free = self.total() < self.open_slots(now);
-        (waiting && free && end > now).then_some(end)
+        if self.queued(Rank::Bulk) == 0 || self.total() >= self.open_slots(now) {
+            return None;
+        }
+        let kind = self.candidate(Rank::Bulk)?;
+        let end = self.spare + self.reserve(&self.kinds[kind]);
+        (end > now).then_some(end)
     }
 
     /// Returns the kind of `rank` that has spent the least for its weight.
@@ -60,10 +70,35 @@
         1.0 - self.share(rank) / floor
     }
 
-    /// Tells whether the last free slot is kept from a job of `kind`.
+    /// Tells whether the last free slot is kept from the kind whose turn it is.
+    ///
+    /// No other bulk kind gets the slot instead, since a flood of short statements would then
+    /// starve the long ones.
     fn kept(&self, now: Time, kind: usize) -> bool {
-        let bulk = self.kinds[kind].rules.rank == Rank::Bulk;
         let last = self.total() + 1 == self.open_slots(now);
-        bulk && last && now < self.spare + self.policy.reserve
+        last && now.since(self.spare) < self.reserve(&self.kinds[kind])
+    }
+
+    /// Returns for how long the last free slot is kept from a kind.
+    ///
+    /// An urgent job that finds all slots busy waits for one of them to end, which takes long when
+    /// they run long bulk statements. A slot that stays idle for `part / (1 - part)` of the
+    /// statement that follows is idle for at most `part` of the time.
+    fn reserve(&self, kind: &KindState) -> Duration {
+        let mean = kind.estimate.mean();
+        let long = mean > LONG * self.urgent_mean();
+        if kind.rules.rank != Rank::Bulk || !long {
+            return Duration::ZERO;
+        }
+        let part = self.policy.reserve * self.limit() as f64;
+        let part = part.clamp(0.0, MOST_RESERVED);
+        Duration::from_micros((mean * part / (1.0 - part)) as u64)
+    }
+
+    /// Returns the greatest mean service time of an urgent kind, in microseconds.
+    fn urgent_mean(&self) -> f64 {
+        let kinds = self.ranks[Rank::Urgent.index()].iter();
+        let means = kinds.map(|at| self.kinds[*at].estimate.mean());
+        means.fold(0.0, f64::max)
     }
 }
--- a/chervildrift_core/src/limit/adaptive.rs
+++ b/chervildrift_core/src/limit/adaptive.rs
@@ -9,13 +9,13 @@
 use crate::types::Time;
 
 /// Shortest window over which slowness is averaged.
-const WINDOW: Duration = Duration::from_millis(100);
+const WINDOW: Duration = Duration::from_millis(50);
 
 /// Fewest samples that a window is judged by; single service times spread too much.
-const WINDOW_SAMPLES: u32 = 16;
+const WINDOW_SAMPLES: u32 = 8;
 
 /// Longest wait for that many samples; a stuck upstream finishes too few statements to count.
-const WINDOW_MAX: Duration = Duration::from_secs(1);
+const WINDOW_MAX: Duration = Duration::from_millis(500);
 
 /// Slowness up to which the limit is not lowered.
 const TOLERATED: f64 = 2.0;
--- /dev/null
+++ b/chervildrift_core/src/limit/throttle.rs
@@ -0,0 +1,62 @@
+//! Throttle of an entry: sheds a kind of work in proportion to what its dispatcher refuses.
+//!
+//! The load of a dispatcher tells that a request has no chance, but near the edge of its queue it
+//! takes some and refuses most. An entry then forwards a little more than what was taken lately.
+
+use std::time::Duration;
+
+use crate::rng::Rng;
+use crate::types::Time;
+
+/// Requests forwarded for each one that was taken lately.
+///
+/// The excess keeps the dispatcher's queue full and finds out when there is room again.
+const EXCESS: f64 = 1.5;
+
+/// Time constant over which requests are counted.
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Requests counted beyond which shedding starts, so that a rare kind is always tried.
+const LEAST_REQUESTS: f64 = 2.0;
+
+/// Decaying counts of the requests of one kind for one dispatcher.
+#[derive(Clone, Debug, Default)]
+pub struct Throttle {
+    at: Time,
+    requests: f64,
+    taken: f64,
+}
+
+impl Throttle {
+    /// Opens a throttle that sheds nothing yet.
+    #[must_use]
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Counts a request and tells whether it may be forwarded.
+    pub fn pass(&mut self, now: Time, rng: &mut Rng) -> bool {
+        self.decay(now);
+        let excess = self.requests - LEAST_REQUESTS - EXCESS * self.taken;
+        let shed = excess / (self.requests + 1.0);
+        self.requests += 1.0;
+        rng.unit() >= shed
+    }
+
+    /// Counts a request that the dispatcher did not refuse.
+    pub fn taken(&mut self, now: Time) {
+        self.decay(now);
+        self.taken += 1.0;
+    }
+
+    fn decay(&mut self, now: Time) {
+        let span = now.since(self.at).as_secs_f64();
+        if span <= 0.0 {
+            return;
+        }
+        self.at = now;
+        let kept = (-span / WINDOW.as_secs_f64()).exp();
+        self.requests *= kept;
+        self.taken *= kept;
+    }
+}
--- a/chervildrift_core/tests/dispatch_random.rs
+++ b/chervildrift_core/tests/dispatch_random.rs
@@ -83,8 +83,9 @@
             .map(rules)
             .collect(),
         window: WINDOW,
-        reserve: Duration::from_millis(3),
+        reserve: 0.1,
         ramp: RAMP,
+        adaptive: true,
     }
 }
 
