Let a peer link spread earlier

Ruled out: spreading every call over all threads, which would open as many connections to each peer as there are threads even at low load. Change: calls go to the next thread from 16 in flight on the home thread. Conclusion: kept; the time of a call at high load is queueing on the threads.

--- a/chervildrift/src/peer/lanes.rs
+++ b/chervildrift/src/peer/lanes.rs
@@ -11,7 +11,7 @@
 /// Calls in flight on a thread beyond which calls go to another thread.
 ///
 /// Below it, all calls to a peer share one connection.
-const SPREAD_CALLS: usize = 64;
+const SPREAD_CALLS: usize = 16;
 
 /// One peer thread as its callers see it.
 #[derive(Debug)]
