--- a/chervildrift/tests/peer_forward.rs
+++ b/chervildrift/tests/peer_forward.rs
@@ -143,3 +143,21 @@
         assert!(!error.sent(), "{error}");
     }
 }
+
+/// Guards against a stop that cuts the calls which this VM itself has in flight.
+#[tokio::test]
+async fn stop_of_caller() {
+    let (server, mut inbound) = bind(options("server", KEY));
+    let client = caller();
+    let call = client.forward(server.address(), request("k"), within(2000));
+    let stop = async {
+        let (request, reply) = forwarded(&mut inbound).await;
+        let late = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            reply.send(support::done(&request)).unwrap();
+        };
+        tokio::join!(client.stop(Duration::from_secs(1)), late);
+    };
+    let (answer, ()) = tokio::join!(call, stop);
+    assert_eq!(answer.unwrap().state, State::Done);
+}
