Build random statements from templates

Ruled out: more cases of random words, 3000 of which found neither fault. Change: templates with places for random words. Before/After: with $0 allowed, and separately with the old slice in the type rules, the test now fails; it passed in both cases before. Unchanged code: 400 cases in 0.8 s, and 4000 cases of nearly the same templates in 10.4 s (CHERVILDRIFT_CASES=4000), no failure. Conclusion: both faults are guarded against now.

--- a/chervildrift_standin/tests/random_statements.rs
+++ b/chervildrift_standin/tests/random_statements.rs
@@ -9,61 +9,59 @@
 
 const DEFAULT_CASES: u32 = 400;
 
-const WORDS: [&str; 52] = [
+/// Statements whose `?` are replaced by random words; the last one has nothing but such words.
+const TEMPLATES: [&str; 7] = [
+    "SELECT ? FROM notes WHERE ? = ? LIMIT ?",
+    "SELECT ?, CAST(? AS ?), ?::? FROM notes",
+    "INSERT INTO notes VALUES (?, ?) RETURNING ?",
+    "WITH v AS (VALUES (1)) INSERT INTO notes (id, body) SELECT ?, $1 FROM v",
+    "UPDATE notes SET body = ? WHERE id IN (?, ?) OR id BETWEEN ? AND ?",
+    "SELECT * FROM chervildrift_log(?, ?, ?)",
+    "? ? ? ? ? ? ? ?",
+];
+
+const WORDS: [&str; 36] = [
     "SELECT",
     "FROM",
-    "WHERE",
-    "INSERT",
-    "INTO",
     "VALUES",
-    "UPDATE",
-    "SET",
-    "DELETE",
+    "INTO",
     "RETURNING",
-    "WITH",
-    "AS",
-    "IN",
-    "BETWEEN",
-    "LIMIT",
-    "CAST",
-    "CASE",
-    "COUNT",
     "notes",
     "id",
     "body",
     "n",
+    "id",
     "*",
     "(",
     ")",
-    "(",
-    ")",
     ",",
-    ".",
     ";",
     "=",
-    "<",
     "||",
     "::",
-    "::int8",
+    "id::int8",
     "$0",
     "$1",
     "$2",
+    "$1::int4",
     "$70000",
     "'a'",
     "'",
     "\"",
     "1",
-    "-",
+    "-1",
     "--",
     "/*",
     "é",
+    "count(*)",
+    "max(id)",
+    "CASE",
     "BEGIN",
-    "COMMIT",
-    "ROLLBACK",
-    "chervildrift_status()",
-    "chervildrift_log(",
 ];
 
+/// Most words that a template takes.
+const PLACES: usize = 8;
+
 /// Guards against a statement that ends its connection instead of getting an error.
 #[test]
 fn survives_nonsense() {
@@ -77,8 +75,9 @@
     let handle = primary();
     let client = runtime.block_on(connect(&handle));
     runtime.block_on(create(&client));
-    let run = |words: Vec<&str>| {
-        let sql = words.join(" ");
+    let run = |(template, words): (&str, Vec<&str>)| {
+        let fill = |sql: String, word: &&str| sql.replacen('?', word, 1);
+        let sql = words.iter().fold(template.to_owned(), fill);
         let alive = runtime.block_on(async {
             drop(client.prepare(&sql).await);
             drop(client.simple_query(&sql).await);
@@ -88,7 +87,7 @@
         assert!(alive, "{sql}");
         Ok(())
     };
-    let statements = vec(select(&WORDS[..]), 1..14);
+    let statements = (select(&TEMPLATES[..]), vec(select(&WORDS[..]), PLACES));
     TestRunner::new(config)
         .run(&statements, run)
         .expect("no failure");
