Measure the rejoin of a diverged upstream stand-in

Cause: the time that a former primary needs to rebuild its state had not been measured, and a pull that timed out took most of the detection time. Change: the example measures the rejoin; pulls time out after 250 ms.

--- a/chervildrift_standin/examples/upstream_rate.rs
+++ b/chervildrift_standin/examples/upstream_rate.rs
@@ -3,13 +3,15 @@
 use std::error::Error;
 use std::time::{Duration, Instant};
 
-use chervildrift_standin::upstream::{Options, spawn};
+use chervildrift_standin::upstream::{Fault, Handle, Options, spawn};
 use futures::future::try_join_all;
 use tokio_postgres::types::Type;
 use tokio_postgres::{Client, NoTls};
 
 const CONNECTIONS: usize = 16;
 const MEASURED: Duration = Duration::from_secs(2);
+/// Time in which pulls in progress end.
+const SETTLE: Duration = Duration::from_millis(100);
 const RECORDS: i64 = 10_000;
 
 type Failure = Box<dyn Error + Send + Sync>;
@@ -20,11 +22,7 @@
     let replica = spawn(Options::replica(primary.address()))?;
     let mut clients = Vec::new();
     for _ in 0..CONNECTIONS {
-        let address = primary.address();
-        let config = format!("host={} port={} user=rate", address.ip(), address.port());
-        let (client, connection) = tokio_postgres::connect(&config, NoTls).await?;
-        tokio::spawn(connection);
-        clients.push(client);
+        clients.push(connect(&primary).await?);
     }
     let sql = "CREATE TABLE notes (id bigint PRIMARY KEY, body text)";
     clients[0].batch_execute(sql).await?;
@@ -48,9 +46,53 @@
     }
     println!("entries: {}", primary.status().received.position);
     println!("replica caught up after: {:?}", start.elapsed());
+    let (total, longest) = rejoin(&primary, &replica, &clients[0]).await?;
+    println!("rejoin of the diverged primary: {total:?}, longest status read: {longest:?}");
     Ok(())
 }
 
+/// Promotes the replica and measures how long the former primary takes to rebuild its state.
+async fn rejoin(
+    former: &Handle,
+    next: &Handle,
+    client: &Client,
+) -> Result<(Duration, Duration), Failure> {
+    former.fault(Fault::CutReplication, 1);
+    tokio::time::sleep(SETTLE).await;
+    client
+        .batch_execute("INSERT INTO notes VALUES (-1, '')")
+        .await?;
+    let promoter = connect(next).await?;
+    promoter
+        .batch_execute("SELECT chervildrift_fence(2, 'rate')")
+        .await?;
+    promoter
+        .batch_execute("SELECT chervildrift_promote(2, 'rate')")
+        .await?;
+    former.fault(Fault::CutReplication, 0);
+    let start = Instant::now();
+    let mut longest = Duration::ZERO;
+    if !former.follow(&next.address().to_string(), 2) {
+        return Err("the former primary does not follow".into());
+    }
+    while former.status().applied != next.status().received {
+        let asked = Instant::now();
+        client
+            .batch_execute("SELECT * FROM chervildrift_status()")
+            .await?;
+        longest = longest.max(asked.elapsed());
+    }
+    Ok((start.elapsed(), longest))
+}
+
+async fn connect(handle: &Handle) -> Result<Client, Failure> {
+    let address = handle.address();
+    let config = format!("host={} port={} user=rate", address.ip(), address.port());
+    let (client, connection) = tokio_postgres::connect(&config, NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
 /// Returns the statements a second of all connections, each with one statement at a time.
 async fn measure(clients: &[Client], sql: &str) -> Result<u64, Failure> {
     let start = Instant::now();
--- a/chervildrift_standin/src/upstream/replica.rs
+++ b/chervildrift_standin/src/upstream/replica.rs
@@ -18,7 +18,9 @@
 const RETRY: Duration = Duration::from_millis(20);
 
 /// Time after which a pull or a connection attempt counts as failed.
-const PULL_TIMEOUT: Duration = Duration::from_millis(500);
+///
+/// Under half of the detection time, so that a pull can fail once without a failover.
+const PULL_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// Entries that one pull asks for.
 const PULL_LIMIT: i64 = 1000;
