--- a/chervildrift_bench/src/fleet/calls.rs
+++ b/chervildrift_bench/src/fleet/calls.rs
@@ -96,8 +96,9 @@
         cost.messages += 1;
         cost.sent += bytes;
         cost.received += bytes;
-        let at = self.now + self.links.call(index, target);
-        self.heap.push(at, (target, due));
+        if let Some(delay) = self.links.call(index, target) {
+            self.heap.push(self.now + delay, (target, due));
+        }
     }
 
     fn ask_platform(&mut self, index: usize, bytes: u64, due: Due) {
--- a/chervildrift_bench/src/fleet/link.rs
+++ b/chervildrift_bench/src/fleet/link.rs
@@ -19,6 +19,8 @@
 pub struct Links {
     pub zones: usize,
     pub loss: u64,
+    /// Availability zone without contact to the others.
+    pub cut: Option<usize>,
     rng: Rng,
 }
 
@@ -28,6 +30,7 @@
         Self {
             zones,
             loss: 0,
+            cut: None,
             rng,
         }
     }
@@ -42,17 +45,25 @@
 
     /// Returns the delay of a datagram, or none when it is lost.
     pub fn datagram(&mut self, from: usize, to: usize) -> Option<Duration> {
-        if self.rng.below(100) < self.loss {
+        if self.rng.below(100) < self.loss || self.parted(from, to) {
             return None;
         }
         Some(self.delay(from, to))
     }
 
-    /// Returns the delay of a message over TCP.
-    pub fn call(&mut self, from: usize, to: usize) -> Duration {
+    /// Returns the delay of a message over TCP, or none when there is no contact.
+    pub fn call(&mut self, from: usize, to: usize) -> Option<Duration> {
+        if self.parted(from, to) {
+            return None;
+        }
         let again = self.rng.below(100) < self.loss;
         let extra = if again { RETRANSMIT } else { Duration::ZERO };
-        self.delay(from, to) + extra
+        Some(self.delay(from, to) + extra)
+    }
+
+    fn parted(&self, from: usize, to: usize) -> bool {
+        let inside = |vm: usize| Some(self.zone(vm)) == self.cut;
+        inside(from) != inside(to)
     }
 
     fn delay(&mut self, from: usize, to: usize) -> Duration {
--- a/chervildrift_bench/src/fleet/run.rs
+++ b/chervildrift_bench/src/fleet/run.rs
@@ -25,6 +25,15 @@
 /// Time in which the last events of a phase have to settle.
 const SETTLE: Duration = Duration::from_secs(4);
 
+/// Time for which an availability zone is cut off.
+const CUT: Duration = Duration::from_secs(20);
+
+/// Longest wait for all VMs to agree after the cut.
+const HEALING: Duration = Duration::from_secs(120);
+
+/// Time over which the greatest traffic is taken.
+const SAMPLE: Duration = Duration::from_secs(1);
+
 /// What to run.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -64,9 +73,21 @@
     pub vm_hours: f64,
     pub disagreeing: usize,
     pub platform_reads: f64,
+    pub cut: Cut,
     pub placed: Placed,
 }
 
+/// Figures of an availability zone that is cut off and comes back.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Cut {
+    /// Seconds until all VMs hold only those in contact as members.
+    pub split: f64,
+    /// Seconds from the end of the cut until all hold all.
+    pub healed: f64,
+    /// Greatest mean of bytes sent by one VM in one second.
+    pub peak: f64,
+}
+
 /// Runs one fleet.
 pub fn run(plan: &Plan) -> Outcome {
     let mut world = World::open(plan);
@@ -99,10 +120,41 @@
     outcome.false_failures = world.watch.wrong;
     outcome.vm_hours = plan.size as f64 * seconds * f64::from(PHASES - 1) / 3_600.0;
     outcome.disagreeing = world.disagreeing();
+    outcome.cut = cut(&mut world);
     (outcome.state_mean, outcome.state_max) = world.state();
     outcome
 }
 
+/// Cuts one availability zone off and lets it come back.
+fn cut(world: &mut World) -> Cut {
+    let mut figures = Cut::default();
+    let inside = |world: &World, index: usize| zone_of(world, index) == 0;
+    world.links.cut = Some(0);
+    let started = world.now;
+    while world.now.since(started) < CUT {
+        let apart = world.parted(inside) == 0;
+        if apart && figures.split == 0.0 {
+            figures.split = world.now.since(started).as_secs_f64();
+        }
+        sample(world, &mut figures);
+    }
+    world.links.cut = None;
+    let started = world.now;
+    while world.now.since(started) < HEALING && world.disagreeing() > 0 {
+        sample(world, &mut figures);
+    }
+    figures.healed = world.now.since(started).as_secs_f64();
+    figures
+}
+
+fn sample(world: &mut World, figures: &mut Cut) {
+    let before = world.costs.total().sent;
+    world.run(SAMPLE);
+    let running = world.nodes.iter().filter(|node| node.runs()).count();
+    let sent = world.costs.total().sent - before;
+    figures.peak = figures.peak.max(sent as f64 / running.max(1) as f64);
+}
+
 /// Runs one phase with an event every two seconds.
 fn phase(world: &mut World, plan: &Plan, mut act: impl FnMut(&mut World) -> u64) -> Phase {
     let before = world.costs;
--- a/chervildrift_bench/src/fleet/table.rs
+++ b/chervildrift_bench/src/fleet/table.rs
@@ -78,6 +78,7 @@
     print_parts(outcomes);
     print_events(outcomes);
     print_times(outcomes);
+    print_cut(outcomes);
     print_placement(outcomes);
     print_fits(outcomes);
 }
@@ -180,6 +181,24 @@
     }
 }
 
+fn print_cut(outcomes: &[Outcome]) {
+    println!("\n## An availability zone cut off for 20 s\n");
+    println!(
+        "| VMs | seconds until split | seconds until healed | greatest KB/s sent by a VM, mean over VMs |"
+    );
+    println!("|{}", " ---: |".repeat(4));
+    for outcome in outcomes {
+        let cut = outcome.cut;
+        println!(
+            "| {} | {:.0} | {:.0} | {:.1} |",
+            outcome.size,
+            cut.split,
+            cut.healed,
+            cut.peak / 1_000.0
+        );
+    }
+}
+
 fn print_placement(outcomes: &[Outcome]) {
     println!("\n## Dispatchers\n");
     println!(
--- a/chervildrift_bench/src/fleet/world.rs
+++ b/chervildrift_bench/src/fleet/world.rs
@@ -322,6 +322,18 @@
         running.map(missed).sum()
     }
 
+    /// Counts running VMs whose number of members is not that of the running VMs on their side.
+    pub fn parted(&self, inside: impl Fn(&Self, usize) -> bool) -> usize {
+        let running = || (0..self.nodes.len()).filter(|index| self.nodes[*index].runs());
+        let first = running().filter(|index| inside(self, *index)).count();
+        let second = running().count() - first;
+        let wrong = |index: &usize| {
+            let side = if inside(self, *index) { first } else { second };
+            self.nodes[*index].membership.count() != side
+        };
+        running().filter(wrong).count()
+    }
+
     /// Counts running VMs whose number of members is not the number of running VMs.
     pub fn disagreeing(&self) -> usize {
         let running = || self.nodes.iter().filter(|node| node.runs());
--- a/chervildrift_core/src/membership/limits.rs
+++ b/chervildrift_core/src/membership/limits.rs
@@ -11,7 +11,8 @@
     pub watched: usize,
     /// Time between two probes in the own availability zone.
     pub probe_period: Duration,
-    /// Time after which an unanswered probe also goes through other VMs.
+    /// Time after which an unanswered probe also goes through other VMs; it is sent again after
+    /// half of it.
     pub direct_wait: Duration,
     /// Time after which an unanswered probe raises a suspicion.
     pub probe_wait: Duration,
--- a/chervildrift_core/src/membership/mod.rs
+++ b/chervildrift_core/src/membership/mod.rs
@@ -17,6 +17,7 @@
 mod probe;
 mod queue;
 mod spread;
+mod suspicion;
 mod sync;
 mod table;
 
@@ -25,8 +26,9 @@
 
 use smallvec::SmallVec;
 
-use self::probe::{Probe, Relay, Suspicion};
+use self::probe::{Probe, Relay};
 use self::queue::Queue;
+use self::suspicion::Suspicion;
 use self::table::Table;
 use crate::generation::Version;
 use crate::placement::digest;
@@ -278,6 +280,7 @@
             return;
         }
         for probe in &mut self.probes {
+            probe.next_at = probe.next_at + gap;
             probe.relay_at = probe.relay_at + gap;
             probe.fail_at = probe.fail_at + gap;
         }
--- a/chervildrift_core/src/membership/probe.rs
+++ b/chervildrift_core/src/membership/probe.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::message::{Body, Change, Incarnation};
+use super::message::Body;
+use super::suspicion::{Raised, Suspicion};
 use super::{Action, Membership};
 use crate::types::{Time, Vm};
 
@@ -14,11 +15,23 @@
 pub(super) struct Probe {
     pub sequence: u32,
     pub vm: Vm,
-    pub indirect: bool,
+    pub step: Step,
+    pub next_at: Time,
     pub relay_at: Time,
     pub fail_at: Time,
 }
 
+/// How far a probe has come.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum Step {
+    /// Sent once.
+    First,
+    /// Sent again, which settles most lost datagrams without helpers.
+    Again,
+    /// Sent through helpers.
+    Indirect,
+}
+
 /// A probe sent for another VM.
 #[derive(Clone, Debug)]
 pub(super) struct Relay {
@@ -29,22 +42,6 @@
     until: Time,
 }
 
-/// A suspicion that its VM may still refute.
-#[derive(Clone, Debug)]
-pub(super) struct Suspicion {
-    pub vm: Vm,
-    pub incarnation: Incarnation,
-    pub until: Time,
-    pub own: Option<Raised>,
-}
-
-/// A suspicion's part that only the VM that raised it has.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Raised {
-    first: u32,
-    remind_at: Time,
-}
-
 impl Membership {
     /// Sends the probes that are due.
     pub(super) fn start_probes(&mut self, now: Time) {
@@ -108,7 +105,8 @@
         self.probes.push(Probe {
             sequence,
             vm: vm.clone(),
-            indirect: false,
+            step: Step::First,
+            next_at: now + direct / 2,
             relay_at: now + direct,
             fail_at: now + total,
         });
@@ -119,10 +117,7 @@
     pub(super) fn check_probes(&mut self, now: Time) {
         let mut waiting = std::mem::take(&mut self.probes);
         for probe in &mut waiting {
-            if !probe.indirect && now >= probe.relay_at {
-                probe.indirect = true;
-                self.probe_again(&probe.vm, probe.sequence);
-            }
+            self.advance(now, probe);
         }
         let failed = |probe: &&Probe| now >= probe.fail_at;
         let lost: Vec<Vm> = waiting
@@ -137,8 +132,31 @@
         }
     }
 
+    /// Takes a probe to its next step, when that is due.
+    fn advance(&mut self, now: Time, probe: &mut Probe) {
+        if now < probe.next_at {
+            return;
+        }
+        match probe.step {
+            Step::First => {
+                probe.step = Step::Again;
+                probe.next_at = probe.relay_at;
+                let sequence = probe.sequence;
+                let address = self.table.get(&probe.vm).map(|record| record.address);
+                if let Some(address) = address {
+                    self.send(Some(&probe.vm), address, Body::Ping { sequence });
+                }
+            }
+            Step::Again => {
+                probe.step = Step::Indirect;
+                self.probe_again(&probe.vm, probe.sequence);
+            }
+            Step::Indirect => {}
+        }
+    }
+
     /// Probes a VM directly and through helpers.
-    fn probe_again(&mut self, vm: &Vm, sequence: u32) {
+    pub(super) fn probe_again(&mut self, vm: &Vm, sequence: u32) {
         let Some(record) = self.table.get(vm) else {
             return;
         };
@@ -250,7 +268,8 @@
             return;
         }
         let member = self.table.get(vm).filter(|one| one.state.is_member());
-        if member.is_none() || self.probes.iter().any(|one| one.vm == *vm && one.indirect) {
+        let asked = |one: &Probe| one.vm == *vm && one.step == Step::Indirect;
+        if member.is_none() || self.probes.iter().any(asked) {
             return;
         }
         self.probes.retain(|probe| probe.vm != *vm);
@@ -261,7 +280,8 @@
         let probe = Probe {
             sequence: self.count_up(),
             vm: vm.clone(),
-            indirect: true,
+            step: Step::Indirect,
+            next_at: now,
             relay_at: now,
             fail_at: now + wait,
         };
@@ -269,63 +289,7 @@
         self.probes.push(probe);
     }
 
-    /// Starts the time that a suspected VM has to refute.
-    pub(super) fn await_refutation(&mut self, now: Time, change: &Change) {
-        let near = self.table.get(&change.vm).map(|record| record.zone) == Some(self.zone);
-        let wait = if near {
-            self.limits.suspect_wait
-        } else {
-            self.limits.far_suspect
-        };
-        self.suspicions.push(Suspicion {
-            vm: change.vm.clone(),
-            incarnation: change.incarnation,
-            until: now + wait,
-            own: None,
-        });
-    }
-
-    /// Probes a suspected VM again, which also tells it to refute.
-    pub(super) fn remind(&mut self, now: Time, vm: &Vm) {
-        let Some(record) = self.table.get(vm) else {
-            return;
-        };
-        let near = record.zone == self.zone;
-        let period = if near {
-            self.limits.probe_period
-        } else {
-            self.limits.far_direct
-        };
-        let sequence = self.count_up();
-        let Some(suspicion) = self.suspicions.iter_mut().find(|one| one.vm == *vm) else {
-            return;
-        };
-        let first = suspicion.own.map_or(sequence, |raised| raised.first);
-        let remind_at = now + period;
-        suspicion.own = Some(Raised { first, remind_at });
-        self.probe_again(vm, sequence);
-    }
-
-    /// Reminds suspected VMs, and declares those failed that did not refute in time.
-    pub(super) fn check_suspicions(&mut self, now: Time) {
-        if self.suspicions.is_empty() {
-            return;
-        }
-        let over = |one: &&Suspicion| now >= one.until;
-        let waiting = |one: &Suspicion| one.own.is_some_and(|own| now >= own.remind_at);
-        let due = |one: &&Suspicion| now < one.until && waiting(one);
-        let failed: Vec<Suspicion> = self.suspicions.iter().filter(over).cloned().collect();
-        let remind: Vec<Suspicion> = self.suspicions.iter().filter(due).cloned().collect();
-        self.suspicions.retain(|one| now < one.until);
-        for one in failed {
-            self.fail(now, &one.vm, one.incarnation);
-        }
-        for one in remind {
-            self.remind(now, &one.vm);
-        }
-    }
-
-    fn count_up(&mut self) -> u32 {
+    pub(super) fn count_up(&mut self) -> u32 {
         self.sequence = self.sequence.wrapping_add(1);
         self.sequence
     }
--- a/chervildrift_core/src/placement/cache.rs
+++ b/chervildrift_core/src/placement/cache.rs
@@ -4,10 +4,11 @@
 
 use smallvec::SmallVec;
 
-use super::{KEPT, digest, weight};
+use super::{KEPT, digest};
+use crate::rng::mix;
 use crate::types::{Upstream, Vm, Zone};
 
-/// A VM and the hash of its name.
+/// A VM and the scrambled hash of its name, the part of its weight that no key changes.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Node {
     hash: u64,
@@ -67,7 +68,7 @@
         self.remove(vm);
         self.homes.insert(vm.clone(), zone.clone());
         let node = Node {
-            hash: digest(vm.as_str()),
+            hash: mix(digest(vm.as_str())),
             vm: vm.clone(),
         };
         let site = self.sites.entry(zone.clone()).or_default();
@@ -153,15 +154,18 @@
 
 /// Returns the VMs with the greatest weights, greatest first.
 fn greatest<'a>(key: u64, nodes: impl IntoIterator<Item = &'a Node>) -> SmallVec<[Vm; KEPT]> {
-    let mut best: SmallVec<[(u64, &Vm); KEPT]> = SmallVec::new();
+    let mut best: SmallVec<[(u64, &Vm); KEPT + 1]> = SmallVec::new();
+    let mut least = 0;
     for node in nodes {
-        let candidate = (weight(key, node.hash), &node.vm);
-        if best.len() == KEPT && best.last().is_some_and(|last| *last >= candidate) {
+        let weight = mix(key ^ node.hash);
+        if weight < least {
             continue;
         }
-        best.truncate(KEPT - 1);
+        let candidate = (weight, &node.vm);
         let index = best.partition_point(|other| *other > candidate);
         best.insert(index, candidate);
+        best.truncate(KEPT);
+        least = best.get(KEPT - 1).map_or(0, |(weight, _)| *weight);
     }
     best.into_iter().map(|(_, vm)| vm.clone()).collect()
 }
