--- a/chervildrift/src/peer/options.rs
+++ b/chervildrift/src/peer/options.rs
@@ -66,7 +66,7 @@
 impl Default for Limits {
     fn default() -> Self {
         Self {
-            threads: 2,
+            threads: 3,
             calls: 4096,
             opening: Duration::from_millis(600),
             refusal: Duration::from_millis(100),
