Refuse a promotion below a confirmed mark

Cause: invariants have to be asserted inside the program, and a promotion is where a confirmed write could be dropped. Ruled out: asserting it without looking at the view's term first, because a candidate that was frozen may know a confirmed mark of a later term by then; it gives its round up instead.

--- a/chervildrift_bench/src/failover/behind.rs
+++ b/chervildrift_bench/src/failover/behind.rs
@@ -46,7 +46,8 @@
     world.run_for(OUTAGE);
     let during = world.ledger.acked() - acked - behind;
     world.run_for(AFTER + Duration::from_secs(5));
-    let resumed = world.ledger.acked_after(crash);
+    // Answers that were on their way at the crash do not count.
+    let resumed = world.ledger.acked_after(crash + Duration::from_millis(50));
     world.set_writing(false);
     world.run_for(Duration::from_secs(20));
     let resumed = resumed.map_or("never".to_owned(), |at| {
--- a/chervildrift_core/src/failover/round.rs
+++ b/chervildrift_core/src/failover/round.rs
@@ -4,6 +4,7 @@
 
 use smallvec::SmallVec;
 
+use crate::invariant;
 use crate::types::{Mark, Term, Time};
 
 use super::watch::{blocked, hears, stalled};
@@ -208,10 +209,13 @@
         if round.refused.len() > size - self.view.majority() {
             return Verdict::Fail;
         }
+        if self.view.term() > round.term {
+            return Verdict::Fail;
+        }
         let late = now >= round.deadline;
         if let Some(target) = self.choose(round, late) {
             round.target = target;
-            return Verdict::Go;
+            return self.check_target(round);
         }
         if late {
             return Verdict::Fail;
@@ -225,6 +229,19 @@
         Verdict::Wait
     }
 
+    /// Refuses a promotion that would drop a confirmed write.
+    fn check_target(&self, round: &Round) -> Verdict {
+        let mut granted = round.granted.iter();
+        let chosen = granted.find(|(index, _mark)| *index == round.target);
+        let chosen = chosen.map(|(_index, mark)| *mark);
+        if chosen >= self.view.confirmed() {
+            return Verdict::Go;
+        }
+        let detail = format!("{chosen:?} below {:?}", self.view.confirmed());
+        invariant::breach("promotion-keeps-confirmed", &detail);
+        Verdict::Fail
+    }
+
     /// Returns the upstream to promote once enough of them are fenced.
     fn choose(&self, round: &Round, late: bool) -> Option<usize> {
         let majority = self.view.majority();
--- a/chervildrift_core/tests/failover.rs
+++ b/chervildrift_core/tests/failover.rs
@@ -6,6 +6,7 @@
     Action, Answer, Coordinator, Event, Limits, Promoter, Reason, Stage,
 };
 use chervildrift_core::group::GroupView;
+use chervildrift_core::invariant;
 use chervildrift_core::rng::Rng;
 use chervildrift_core::types::{Mark, Role, Status, Term, Time};
 
@@ -311,3 +312,30 @@
     assert!(!driver.held());
     assert_eq!(driver.fences(), 0);
 }
+
+/// Guards against a promotion that drops a confirmed write after an upstream lost durable state.
+#[test]
+fn confirmed_kept() {
+    let before = invariant::count();
+    let mut driver = Driver::open(
+        0,
+        [
+            Some(primary(4, 9)),
+            Some(replica(4, 9, 5)),
+            Some(replica(4, 6, 5)),
+        ],
+    );
+    driver.run(Duration::from_millis(200));
+    driver.unheard = Some(0);
+    driver.statuses = [None, Some(replica(4, 8, 700)), Some(replica(4, 6, 700))];
+    driver.run(Duration::from_secs(1));
+    assert_eq!(driver.promoted(), []);
+    assert!(invariant::count() > before);
+}
+
+/// Guards against a restarted process that is taken for its predecessor in the same term.
+#[test]
+fn restarted_promoter() {
+    let start = |start| Promoter::new(&"vm-1".into(), start);
+    assert_ne!(start(1), start(2));
+}
