Ping failed VMs so that a healed partition is noticed

Cause: after a cut the sides met only by chance anti-entropy. Ruled out: more frequent anti-entropy with failed VMs, which costs three times the bytes of a ping; failures of far VMs told in answers to pages, since after a partition the other side is wrong about them. Change: each VM pings a random failed VM, more often the more there are; a refutation also goes straight back to the VM that held the failure; far suspicions are probed again once per far_probe; larger burst for changes.

--- a/chervildrift_core/src/membership/apply.rs
+++ b/chervildrift_core/src/membership/apply.rs
@@ -179,7 +179,15 @@
         self.enqueue(&me, scope);
     }
 
-    /// A greater boot belongs to an older process while this one joins, whose clock may have been
+    /// Sends this VM's own state to one that held it as suspected or failed. Its neighbours do not
+    /// pass that on to other availability zones, as they never held another.
+    pub(super) fn refute(&mut self, to: SocketAddr) {
+        let mut message = self.bare(Body::Gossip);
+        message.changes.push(self.own_change());
+        self.out.push(Action::Send { to, message });
+    }
+
+    /// A greater boot to an older process while this one joins, whose clock may have been
     /// ahead; afterwards it belongs to a newer process.
     fn meet_successor(&mut self, other: Incarnation) {
         if !self.joined {
@@ -198,12 +206,7 @@
             return;
         }
         if message.incarnation.boot < self.incarnation.boot {
-            let mut reply = self.bare(Body::Gossip);
-            reply.changes.push(self.own_change());
-            self.out.push(Action::Send {
-                to: from,
-                message: reply,
-            });
+            self.refute(from);
         }
     }
 
--- a/chervildrift_core/src/membership/limits.rs
+++ b/chervildrift_core/src/membership/limits.rs
@@ -76,7 +76,7 @@
             far_suspect: Duration::from_secs(3),
             helpers: 3,
             fanout: 4,
-            push_period: Duration::from_millis(10),
+            push_period: Duration::from_millis(25),
             gossip_period: Duration::from_millis(100),
             sync_period: Duration::from_secs(5),
             repair_period: Duration::from_secs(1),
@@ -85,7 +85,7 @@
             sync_buckets: 4,
             join_buckets: 8,
             gossip_rate: 8_000,
-            gossip_burst: 64_000,
+            gossip_burst: 256_000,
             forget_after: Duration::from_secs(3_600),
             seeds: 128,
         }
--- a/chervildrift_core/src/membership/mod.rs
+++ b/chervildrift_core/src/membership/mod.rs
@@ -227,10 +227,14 @@
         self.greet(now, from, &message);
         self.hear(&message);
         let origin = self.origin(&message.from);
+        let incarnation = self.incarnation;
         for change in &message.changes {
             self.apply(now, change, origin);
         }
         let sender = message.from;
+        if self.incarnation != incarnation {
+            self.refute(from);
+        }
         match message.body {
             Body::Gossip => {}
             Body::Ping { sequence } => self.answer(from, &sender, sequence),
--- a/chervildrift_core/src/membership/probe.rs
+++ b/chervildrift_core/src/membership/probe.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::message::Body;
+use super::message::{Body, State};
 use super::suspicion::{Raised, Suspicion};
 use super::{Action, Membership};
 use crate::types::{Time, Vm};
@@ -10,6 +10,9 @@
 /// Relayed probes held for others; more are refused, since their answers would come too late.
 const RELAYS: usize = 64;
 
+/// Failed VMs from which on one is pinged in every period.
+const KNOCK_DEAD: u64 = 16;
+
 /// A probe that waits for its answer.
 #[derive(Clone, Debug)]
 pub(super) struct Probe {
@@ -52,6 +55,21 @@
         if now >= self.next.far {
             self.next.far = self.after(now, self.next.far, self.limits.far_period);
             self.probe_far(now);
+            self.knock();
+        }
+    }
+
+    /// Pings a VM that failed, more often the more there are, since many failed VMs may be one
+    /// cut link. If it is back, it refutes, and its answer names what it holds of this VM.
+    fn knock(&mut self) {
+        if self.rng.below(KNOCK_DEAD) >= self.table.dead() as u64 {
+            return;
+        }
+        let dead = self.table.random_dead(&mut self.rng).cloned();
+        let failed = |vm: &Vm| self.state(vm) == Some(State::Failed);
+        if let Some(vm) = dead.filter(failed) {
+            let sequence = self.count_up();
+            self.send_to(&vm, Body::Ping { sequence });
         }
     }
 
--- a/chervildrift_core/src/membership/suspicion.rs
+++ b/chervildrift_core/src/membership/suspicion.rs
@@ -46,7 +46,7 @@
         let period = if near {
             self.limits.probe_period
         } else {
-            self.limits.far_direct
+            self.limits.far_probe
         };
         let sequence = self.count_up();
         let Some(suspicion) = self.suspicions.iter_mut().find(|one| one.vm == *vm) else {
--- a/chervildrift_core/src/membership/sync.rs
+++ b/chervildrift_core/src/membership/sync.rs
@@ -119,7 +119,7 @@
     /// Returns a failed VM, or a seed that is not a member.
     fn outsider(&mut self) -> (Option<Vm>, Option<SocketAddr>) {
         let known = self.seeds.len() as u64;
-        let chosen = self.rng.below(known + u64::from(self.table.has_dead()));
+        let chosen = self.rng.below(known + u64::from(self.table.dead() > 0));
         if chosen < known {
             return (None, self.seed());
         }
@@ -293,11 +293,15 @@
         }
     }
 
-    /// Returns what is known of a VM when it overrules an entry in more than a suspicion.
+    /// Returns what is known of a VM when it overrules an entry in more than a suspicion. Only its
+    /// own availability zone tells of a failure here: after a partition the other side holds VMs
+    /// as failed that are not.
     fn correction(&self, entry: &Change) -> Option<Change> {
         let record = self.table.get(&entry.vm)?;
         if !record.state.is_member() {
-            return Some(self.table.change(record));
+            let certain = record.zone == self.zone || record.state == State::Left;
+            let newer = record.incarnation >= entry.incarnation;
+            return (certain && newer).then(|| self.table.change(record));
         }
         let known = self.entry(record);
         let newer = (known.incarnation, known.state) > (entry.incarnation, entry.state);
--- a/chervildrift_core/src/membership/table.rs
+++ b/chervildrift_core/src/membership/table.rs
@@ -155,9 +155,9 @@
         self.random(index as u16, rng)
     }
 
-    /// Tells whether any VM failed or left.
-    pub const fn has_dead(&self) -> bool {
-        !self.dead.is_empty()
+    /// Returns the number of VMs that failed or left.
+    pub const fn dead(&self) -> usize {
+        self.dead.len()
     }
 
     /// Returns the bucket and the digest part of a VM that is not in the table.
