Let only a VM's own zone tell other zones of its failure

Cause: after a cut heals, the queues of one side still hold the other side's VMs as failed, and told third zones so. Ruled out: a mark on each change of who observed it, which costs bytes in every message for a rare case. Change: a failure goes to another availability zone only from the VM's own one. A zone that is lost as a whole is noticed by the probes across zones.

--- a/chervildrift_core/src/membership/spread.rs
+++ b/chervildrift_core/src/membership/spread.rs
@@ -1,6 +1,6 @@
 //! Spreading of changes and of the configuration in force.
 
-use super::message::{Body, DATAGRAM_BYTES, Message, State, base_size};
+use super::message::{Body, Change, DATAGRAM_BYTES, Message, State, base_size};
 use super::queue::{Due, Scope};
 use super::{Action, Membership};
 use crate::generation::Version;
@@ -56,6 +56,8 @@
         let mut room = DATAGRAM_BYTES.saturating_sub(message.size());
         let mut allowed = self.allowance as usize;
         let own = self.own_change();
+        let home = self.zone;
+        let crossing = zone != home;
         let table = &self.table;
         let changes = &mut message.changes;
         self.queue.fill(zone, |vm, scope| {
@@ -64,8 +66,16 @@
             } else {
                 table.get(vm).map(|record| table.change(record))
             };
-            // A VM that was forgotten meanwhile uses up its turns without being sent.
-            let Some(change) = known else {
+            // A VM that was forgotten meanwhile uses up its turns without being sent, and so does a
+            // failure of another availability zone's VM on its way to a third: only its own zone
+            // tells of it there, since after a cut this side is wrong about the other.
+            let hearsay = |change: &Change| {
+                let record = table.get(&change.vm);
+                crossing
+                    && change.state == State::Failed
+                    && record.is_some_and(|one| one.zone != home)
+            };
+            let Some(change) = known.filter(|change| !hearsay(change)) else {
                 return true;
             };
             let size = change.size();
