Move the declaration of kinds out of the scheduler file

Ruled out: splitting the public calls, which belong together. Change: declare.rs holds how a policy's kinds are taken over; no change of behaviour. Conclusion: each file of the scheduler has one concern again.

--- a/chervildrift_core/src/dispatch/mod.rs
+++ b/chervildrift_core/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod calendar;
+mod declare;
 mod estimate;
 mod gate;
 mod hash;
--- a/chervildrift_core/src/dispatch/scheduler.rs
+++ b/chervildrift_core/src/dispatch/scheduler.rs
@@ -9,7 +9,7 @@
 use super::job::{Finish, Job, JobId, JobIds, Refusal};
 use super::kind::KindState;
 use super::lists::Lists;
-use super::policy::{KindPolicy, Policy};
+use super::policy::Policy;
 use super::queue::Waiting;
 use super::usage::Usage;
 use crate::invariant;
@@ -336,45 +336,4 @@
             invariant::breach("dispatch-count", "the queues and the latest starts differ");
         }
     }
-
-    fn declare(&mut self, kinds: &[KindPolicy]) {
-        for kind in &mut self.kinds {
-            kind.declared = false;
-        }
-        for rules in kinds {
-            self.declare_kind(rules);
-        }
-        self.names.clear();
-        self.recount();
-    }
-
-    fn declare_kind(&mut self, rules: &KindPolicy) {
-        let known = |kind: &KindState| kind.rules.kind == rules.kind;
-        if let Some(kind) = self.kinds.iter_mut().find(|kind| known(kind)) {
-            kind.rules = rules.clone();
-            kind.declared = true;
-            return;
-        }
-        let opened = KindState::open(rules);
-        match self.kinds.iter_mut().find(|kind| kind.vacant()) {
-            Some(kind) => *kind = opened,
-            None => self.kinds.push(opened),
-        }
-    }
-
-    /// Derives names and counts of ranks from the kinds.
-    fn recount(&mut self) {
-        self.ranks.iter_mut().for_each(Vec::clear);
-        self.queued = [0; Rank::COUNT];
-        self.running = [0; Rank::COUNT];
-        for (at, kind) in self.kinds.iter().enumerate() {
-            let rank = kind.rules.rank.index();
-            self.ranks[rank].push(at);
-            self.queued[rank] += kind.queue.len();
-            self.running[rank] += kind.running;
-            if kind.declared {
-                self.names.insert(kind.rules.kind.clone(), at);
-            }
-        }
-    }
 }
