--- a/chervildrift_core/src/dispatch/mod.rs
+++ b/chervildrift_core/src/dispatch/mod.rs
@@ -7,8 +7,10 @@
 
 mod admit;
 mod calendar;
+mod declare;
 mod estimate;
 mod gate;
+mod hash;
 mod job;
 mod kind;
 mod lists;
--- a/chervildrift_core/src/dispatch/scheduler.rs
+++ b/chervildrift_core/src/dispatch/scheduler.rs
@@ -5,10 +5,11 @@
 
 use super::calendar::Calendar;
 use super::gate::Gate;
+use super::hash::IdHash;
 use super::job::{Finish, Job, JobId, JobIds, Refusal};
 use super::kind::KindState;
 use super::lists::Lists;
-use super::policy::{KindPolicy, Policy};
+use super::policy::Policy;
 use super::queue::Waiting;
 use super::usage::Usage;
 use crate::invariant;
@@ -34,7 +35,7 @@
     /// Since when at least one slot has been free.
     pub(super) spare: Time,
     jobs: Lists<Waiting>,
-    places: HashMap<JobId, Place>,
+    places: HashMap<JobId, Place, IdHash>,
     /// Waiting jobs by their latest useful start.
     starts: Calendar,
     adaptive: Adaptive,
@@ -77,7 +78,7 @@
             gate: Gate::Open,
             spare: Time::default(),
             jobs: Lists::new(),
-            places: HashMap::new(),
+            places: HashMap::default(),
             starts: Calendar::new(),
             adaptive: Adaptive::open(policy.slots),
             expired: JobIds::new(),
@@ -335,45 +336,4 @@
             invariant::breach("dispatch-count", "the queues and the latest starts differ");
         }
     }
-
-    fn declare(&mut self, kinds: &[KindPolicy]) {
-        for kind in &mut self.kinds {
-            kind.declared = false;
-        }
-        for rules in kinds {
-            self.declare_kind(rules);
-        }
-        self.names.clear();
-        self.recount();
-    }
-
-    fn declare_kind(&mut self, rules: &KindPolicy) {
-        let known = |kind: &KindState| kind.rules.kind == rules.kind;
-        if let Some(kind) = self.kinds.iter_mut().find(|kind| known(kind)) {
-            kind.rules = rules.clone();
-            kind.declared = true;
-            return;
-        }
-        let opened = KindState::open(rules);
-        match self.kinds.iter_mut().find(|kind| kind.vacant()) {
-            Some(kind) => *kind = opened,
-            None => self.kinds.push(opened),
-        }
-    }
-
-    /// Derives names and counts of ranks from the kinds.
-    fn recount(&mut self) {
-        self.ranks.iter_mut().for_each(Vec::clear);
-        self.queued = [0; Rank::COUNT];
-        self.running = [0; Rank::COUNT];
-        for (at, kind) in self.kinds.iter().enumerate() {
-            let rank = kind.rules.rank.index();
-            self.ranks[rank].push(at);
-            self.queued[rank] += kind.queue.len();
-            self.running[rank] += kind.running;
-            if kind.declared {
-                self.names.insert(kind.rules.kind.clone(), at);
-            }
-        }
-    }
 }
