Serve bundles and patches to peers from the event loop

Cause: the peer link carries patches and busy answers now, and the event loop only knew whole bundles. Ruled out: keeping the transfer limit by time alone; four transfers in 5 s would slow a new generation on its way through the fleet. Change: Asked, Serve and Sent of the generations are joined with the peer link. Before/After: not measured. Conclusion: builds; the fleet tests decide.

--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -134,12 +134,14 @@
         for action in actions {
             match action {
                 generation::Action::ReadHead => self.read_head(),
-                generation::Action::FetchPeer { vm, hash, .. } => self.fetch_peer(now, &vm, hash),
+                generation::Action::FetchPeer { vm, hash, base } => {
+                    self.fetch_peer(now, &vm, hash, base);
+                }
                 generation::Action::FetchStore { hash } => self.fetch_store(hash),
                 generation::Action::Install { version, bundle } => {
                     self.install(now, version, &bundle);
                 }
-                generation::Action::Serve { .. } => {}
+                generation::Action::Serve { vm, answer, .. } => self.send_bundle(&vm, answer),
                 generation::Action::Ready => info!(self.log, "ready"),
             }
         }
@@ -181,27 +183,36 @@
         });
     }
 
-    fn fetch_peer(&self, now: Time, vm: &Vm, hash: BundleHash) {
+    fn fetch_peer(&self, now: Time, vm: &Vm, hash: BundleHash, base: Option<BundleHash>) {
         let (peers, inputs) = (self.peers.clone(), self.inputs.clone());
         let address = self.address(vm);
         let deadline = self.clock.instant(now + BUNDLE_LIMIT);
         self.io.spawn(async move {
-            let body = match address {
-                Some(to) => peers
-                    .bundle(to, hash.to_string(), deadline)
-                    .await
-                    .ok()
-                    .flatten(),
+            let answer = match address {
+                Some(to) => peers.bundle(to, hash, base, deadline).await.ok(),
                 None => None,
             };
+            let body = match answer {
+                Some(generation::Answer::Body(body)) => Some(body),
+                _ => None,
+            };
             let _ended = inputs.send(Input::Body(hash, body));
         });
     }
 
+    /// Sends a bundle to the VM that asked for it.
+    fn send_bundle(&mut self, vm: &Vm, answer: generation::Answer) {
+        if let Some(index) = self.bundle_asks.iter().position(|(from, _)| from == vm) {
+            let (_, reply) = self.bundle_asks.swap_remove(index);
+            let _gone = reply.send(answer);
+        }
+    }
+
     fn fetch_store(&self, hash: BundleHash) {
         let (platform, inputs) = (self.platform.clone(), self.inputs.clone());
         self.io.spawn(async move {
             let body = platform.object(&hash.to_string()).await.ok().flatten();
+            let body = body.map(|body| generation::Body::Whole(Arc::from(body)));
             let _ended = inputs.send(Input::Body(hash, body));
         });
     }
@@ -214,13 +225,10 @@
     }
 
     /// Takes a bundle that was fetched.
-    pub(super) fn take_body(&mut self, hash: BundleHash, body: Option<Vec<u8>>) {
+    pub(super) fn take_body(&mut self, hash: BundleHash, body: Option<generation::Body>) {
         let now = self.clock.now();
         let event = match body {
-            Some(body) => {
-                let body = generation::Body::Whole(Arc::from(body));
-                generation::Event::Body { hash, body }
-            }
+            Some(body) => generation::Event::Body { hash, body },
             None => generation::Event::Failed { hash },
         };
         let actions = self.generations.handle(now, event);
@@ -315,10 +323,24 @@
             Inbound::GroupState { group, reply } => {
                 let _gone = reply.send(self.group_state(now, &group));
             }
-            Inbound::Bundle { hash, reply } => {
-                let held = self.generations.version().hash.to_string() == hash;
-                let body = self.generations.bundle().filter(|_body| held);
-                let _gone = reply.send(body.map(|body| body.to_vec()));
+            Inbound::Bundle {
+                from,
+                hash,
+                base,
+                reply,
+            } => {
+                self.bundle_asks.push((from.clone(), reply));
+                let event = generation::Event::Asked {
+                    vm: from.clone(),
+                    hash,
+                    base,
+                };
+                let actions = self.generations.handle(now, event);
+                self.configure(now, actions);
+                let actions = self
+                    .generations
+                    .handle(now, generation::Event::Sent { vm: from });
+                self.configure(now, actions);
             }
             Inbound::BurnDelta { delta, reply, .. } => {
                 self.merge_burn(&delta);
--- a/chervildrift/src/serve/mod.rs
+++ b/chervildrift/src/serve/mod.rs
@@ -63,7 +63,7 @@
     /// The end of a read of the platform's head record.
     Head(generation::Event),
     /// A bundle by its hash; none when it could not be had.
-    Body(BundleHash, Option<Vec<u8>>),
+    Body(BundleHash, Option<generation::Body>),
     /// The platform's list of VMs: seeds, and names that are leaving.
     Listed(Vec<Seed>, Vec<String>),
     /// The end of a read or write of a burn snapshot.
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -7,7 +7,7 @@
 use chervildrift_core::burn::Burn;
 use chervildrift_core::config::{Bundle, Settings};
 use chervildrift_core::failover::{Action, Event, Promoter};
-use chervildrift_core::generation::Generations;
+use chervildrift_core::generation::{self, Generations};
 use chervildrift_core::membership::Membership;
 use chervildrift_core::placement::{self, Placement};
 use chervildrift_core::rng::Rng;
@@ -16,6 +16,7 @@
 use slog::{Logger, info};
 use tokio::runtime;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 
 use super::clock::Clock;
 use super::dispatcher::Dispatcher;
@@ -48,6 +49,8 @@
     pub addresses: HashMap<Vm, SocketAddr>,
     pub generations: Generations,
     pub bundle: Arc<Bundle>,
+    /// VMs that wait for a bundle.
+    pub bundle_asks: Vec<(Vm, oneshot::Sender<generation::Answer>)>,
     pub groups: HashMap<GroupId, Group>,
     pub dispatchers: HashMap<Upstream, Dispatcher>,
     pub entry: Entry,
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -164,6 +164,7 @@
         addresses: HashMap::new(),
         generations: Generations::open(Rng::open(!seed), generation::Limits::default()),
         bundle: Arc::new(Bundle::default()),
+        bundle_asks: Vec::new(),
         groups: HashMap::new(),
         dispatchers: HashMap::new(),
         entry: Entry::default(),
