--- a/chervildrift/src/serve/dispatcher.rs
+++ b/chervildrift/src/serve/dispatcher.rs
@@ -25,7 +25,7 @@
 const FIRST_SERVICE: Duration = Duration::from_millis(5);
 
 /// Part of all slot time that may stay idle to keep a slot free of long bulk statements.
-const RESERVE: f64 = 0.12;
+const RESERVE: f64 = 0.1;
 
 /// Longest time between two statements of a transaction.
 const TRANSACTION_IDLE: Duration = Duration::from_secs(5);
