Give anti-entropy an allowance of its own

Cause: after a cut the changes used up the allowance, so that pages, which repair what the changes missed, were hardly sent (0.25 per VM and second). Ruled out: eager rounds for each change while many are due; each paid for the rest of its datagram. Change: separate allowances of 5 KB/s for changes and for pages, twice the buckets and exchanges while digests differ, no eager rounds when crowded. In the first second after the cut the changes go out four times in full datagrams to VMs that partly have them; a bound per second on the burst is the next thing to try.

--- a/chervildrift_core/src/membership/limits.rs
+++ b/chervildrift_core/src/membership/limits.rs
@@ -46,10 +46,14 @@
     pub sync_buckets: u8,
     /// Buckets sent in one exchange of a VM that joins.
     pub join_buckets: u8,
-    /// Sustained bytes per second for changes and pages, whatever the size of the fleet.
+    /// Sustained bytes per second for changes, whatever the size of the fleet.
     pub gossip_rate: u32,
-    /// Bytes for changes and pages that may go out at once after a quiet time.
+    /// Bytes for changes that may go out at once after a quiet time.
     pub gossip_burst: u32,
+    /// As `gossip_rate`, for the pages of anti-entropy, which changes must not starve.
+    pub page_rate: u32,
+    /// As `gossip_burst`, for the pages of anti-entropy.
+    pub page_burst: u32,
     /// Time a failed or left VM is remembered.
     pub forget_after: Duration,
     /// Seeds remembered that are not yet members.
@@ -79,13 +83,15 @@
             push_period: Duration::from_millis(25),
             gossip_period: Duration::from_millis(100),
             sync_period: Duration::from_secs(5),
-            repair_period: Duration::from_secs(1),
+            repair_period: Duration::from_millis(500),
             join_period: Duration::from_millis(50),
             join_wait: Duration::from_secs(3),
-            sync_buckets: 4,
+            sync_buckets: 8,
             join_buckets: 8,
-            gossip_rate: 8_000,
+            gossip_rate: 5_000,
             gossip_burst: 256_000,
+            page_rate: 5_000,
+            page_burst: 128_000,
             forget_after: Duration::from_secs(3_600),
             seeds: 128,
         }
--- a/chervildrift_core/src/membership/spread.rs
+++ b/chervildrift_core/src/membership/spread.rs
@@ -13,7 +13,7 @@
 /// Rounds in which a VM announces a configuration that it has put in force.
 const VERSION_ROUNDS: u8 = 3;
 
-/// Changes due from which on each is sent in the first round only.
+/// Changes due from which on each is sent less often and together with others.
 const CROWDED: usize = 32;
 
 /// Retransmissions of a change beyond the first round, as a multiple of log2 of the zone's size.
@@ -103,7 +103,9 @@
             scope,
             left,
         });
-        self.fresh = true;
+        // Many single changes would each pay for the rest of their datagrams; crowded ones wait
+        // for the next gossip and share them.
+        self.fresh |= scope == Scope::Zone || self.queue.len() <= CROWDED;
     }
 
     /// Returns how often a change is sent by each VM. When many are due, such as after a cut, each
@@ -182,12 +184,16 @@
         self.out.push(Action::Send { to, message });
     }
 
-    /// Renews the allowance for changes and pages.
+    /// Renews the allowances for changes and pages.
     pub(super) fn refill(&mut self, now: Time) {
-        let gained = now.since(self.ticked).as_secs_f64() * f64::from(self.limits.gossip_rate);
-        let gained = gained.min(f64::from(self.limits.gossip_burst)) as u32;
-        let full = self.limits.gossip_burst;
-        self.allowance = self.allowance.saturating_add(gained).min(full);
+        let passed = now.since(self.ticked).as_secs_f64();
+        let limits = &self.limits;
+        let renew = |left: u32, rate: u32, burst: u32| {
+            let gained = (passed * f64::from(rate)).min(f64::from(burst)) as u32;
+            left.saturating_add(gained).min(burst)
+        };
+        self.allowance = renew(self.allowance, limits.gossip_rate, limits.gossip_burst);
+        self.page_allowance = renew(self.page_allowance, limits.page_rate, limits.page_burst);
     }
 
     /// Announces that this VM is leaving.
--- a/chervildrift_core/src/membership/sync.rs
+++ b/chervildrift_core/src/membership/sync.rs
@@ -215,8 +215,8 @@
             entries,
         }));
         let cost = message.size() as u32;
-        if cost <= self.allowance {
-            self.allowance -= cost;
+        if cost <= self.page_allowance {
+            self.page_allowance -= cost;
             self.out.push(Action::Send { to, message });
         }
     }
