Print only the cuts that were measured

Cause: a skipped or unfinished cut was printed as 0 seconds. Ruled out: leaving the table out, since a fleet that does not agree in time has to be seen. Change: unfinished cuts say so; fleets without a cut are left out.

--- a/chervildrift_bench/src/fleet/run.rs
+++ b/chervildrift_bench/src/fleet/run.rs
@@ -71,7 +71,7 @@
     pub vm_hours: f64,
     pub disagreeing: usize,
     pub platform_reads: f64,
-    pub cut: Cut,
+    pub cut: Option<Cut>,
     pub placed: Placed,
 }
 
@@ -79,9 +79,9 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cut {
     /// Seconds until all VMs hold only those in contact as members.
-    pub split: f64,
+    pub split: Option<f64>,
     /// Seconds from the end of the cut until all hold all.
-    pub healed: f64,
+    pub healed: Option<f64>,
     /// Greatest mean of bytes sent by one VM in one second.
     pub peak: f64,
 }
@@ -119,7 +119,7 @@
     outcome.vm_hours = plan.size as f64 * seconds * f64::from(PHASES - 1) / 3_600.0;
     outcome.disagreeing = world.disagreeing();
     if !plan.cut.is_zero() {
-        outcome.cut = cut(&mut world, plan.cut);
+        outcome.cut = Some(cut(&mut world, plan.cut));
     }
     (outcome.state_mean, outcome.state_max) = world.state();
     outcome
@@ -133,8 +133,8 @@
     let started = world.now;
     while world.now.since(started) < span {
         let apart = world.parted(inside) == 0;
-        if apart && figures.split == 0.0 {
-            figures.split = world.now.since(started).as_secs_f64();
+        if apart && figures.split.is_none() {
+            figures.split = Some(world.now.since(started).as_secs_f64());
         }
         sample(world, &mut figures);
     }
@@ -143,7 +143,8 @@
     while world.now.since(started) < HEALING && world.disagreeing() > 0 {
         sample(world, &mut figures);
     }
-    figures.healed = world.now.since(started).as_secs_f64();
+    let agreed = world.disagreeing() == 0;
+    figures.healed = agreed.then(|| world.now.since(started).as_secs_f64());
     figures
 }
 
--- a/chervildrift_bench/src/fleet/table.rs
+++ b/chervildrift_bench/src/fleet/table.rs
@@ -187,13 +187,17 @@
         "| VMs | seconds until split | seconds until healed | greatest KB/s sent by a VM, mean over VMs |"
     );
     println!("|{}", " ---: |".repeat(4));
+    let seconds =
+        |time: Option<f64>| time.map_or("not in time".to_owned(), |at| format!("{at:.0}"));
     for outcome in outcomes {
-        let cut = outcome.cut;
+        let Some(cut) = outcome.cut else {
+            continue;
+        };
         println!(
-            "| {} | {:.0} | {:.0} | {:.1} |",
+            "| {} | {} | {} | {:.1} |",
             outcome.size,
-            cut.split,
-            cut.healed,
+            seconds(cut.split),
+            seconds(cut.healed),
             cut.peak / 1_000.0
         );
     }
