Announce the end of a stop last, and mend what the pages found

Cause: writing the user pages showed that a stopping VM said farewell to its peers while callers could still arrive, that `report burn` printed JSON and an empty report on most VMs, that three metrics were never set, that publishing an empty folder took every service away, that a caller's faulty statement counted against the service, and that a VM whose name was taken went on running. Ruled out: a longer wait before the farewell; the end of the callers' listener is known, so no wait has to be guessed. Change: leaving and ending are two inputs; burn as text, from several VMs; metrics of queues, members and promotions; an empty publish is refused; errors below 500 are left out of the burn; a replaced VM stops. After: not measured; the stop tests pass. Conclusion: the pages and the program agree on these points.

--- a/chervildrift/src/cli/serve.rs
+++ b/chervildrift/src/cli/serve.rs
@@ -22,8 +22,10 @@
     let graceful = runtime.block_on(async {
         let mut term = signal(SignalKind::terminate())?;
         let mut int = signal(SignalKind::interrupt())?;
-        await_either(&mut term, &mut int).await;
-        info!(log, "stopping");
+        tokio::select! {
+            () = await_either(&mut term, &mut int) => info!(log, "stopping"),
+            () = handle.replaced() => info!(log, "stopping, since another process has this name"),
+        }
         tokio::select! {
             graceful = handle.stop() => Ok::<_, std::io::Error>(graceful),
             () = await_either(&mut term, &mut int) => {
--- a/chervildrift/src/declare/mod.rs
+++ b/chervildrift/src/declare/mod.rs
@@ -17,6 +17,10 @@
             display("{}: {}", path.display(), err)
             source(err)
         }
+        /// There is nothing to publish.
+        Empty {
+            display("no files named {} were found", FILE_NAME)
+        }
     }
 }
 
--- a/chervildrift/src/http/operators.rs
+++ b/chervildrift/src/http/operators.rs
@@ -23,8 +23,8 @@
     pub ready: Box<dyn Fn() -> bool + Send + Sync>,
     /// Renders the metrics.
     pub metrics: Box<dyn Fn() -> Vec<u8> + Send + Sync>,
-    /// Renders the report on service-level burn as JSON.
-    pub burn: Box<dyn Fn() -> Vec<u8> + Send + Sync>,
+    /// Renders the report on service-level burn, as JSON or as text.
+    pub burn: Box<dyn Fn(bool) -> Vec<u8> + Send + Sync>,
 }
 
 /// A running listener for operators.
@@ -58,6 +58,7 @@
         .at("/live", get(handler_service(live)))
         .at("/ready", get(handler_service(ready)))
         .at("/burn", get(handler_service(burn)))
+        .at("/burn.txt", get(handler_service(burn_text)))
         .serve()
         .worker_threads(1)
         .disable_signal()
@@ -75,7 +76,11 @@
 }
 
 async fn burn(ctx: &WebContext<'_, Arc<Probe>>) -> WebResponse {
-    text((ctx.state().burn)(), "application/json")
+    text((ctx.state().burn)(true), "application/json")
+}
+
+async fn burn_text(ctx: &WebContext<'_, Arc<Probe>>) -> WebResponse {
+    text((ctx.state().burn)(false), "text/plain")
 }
 
 async fn live(ctx: &WebContext<'_, Arc<Probe>>) -> WebResponse {
--- a/chervildrift/src/publish/mod.rs
+++ b/chervildrift/src/publish/mod.rs
@@ -83,6 +83,10 @@
         println!("nothing was published");
         return Ok(ExitCode::from(FAILURE));
     }
+    // An empty bundle would take every service away from its callers.
+    if collected.declarations.is_empty() {
+        return Err(declare::Error::Empty.into());
+    }
     let body = Bundle::collect(collected.declarations)?.encode()?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let outcome = runtime.block_on(async {
--- a/chervildrift/src/report/mod.rs
+++ b/chervildrift/src/report/mod.rs
@@ -28,9 +28,9 @@
 /// Options of `report burn`.
 #[derive(Debug, Args)]
 pub struct Options {
-    /// Address of the operators' listener of any VM.
-    #[arg(long)]
-    operators: SocketAddr,
+    /// Addresses of operators' listeners; each service is answered for by one VM.
+    #[arg(long, required = true, num_args = 1..)]
+    operators: Vec<SocketAddr>,
     /// Prints JSON instead of text.
     #[arg(long)]
     json: bool,
@@ -39,10 +39,13 @@
 /// Prints the report on service-level burn.
 pub fn run(options: &Options) -> Result<(), Error> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
-    let body = runtime.block_on(async {
-        let url = format!("http://{}/burn", options.operators);
-        reqwest::get(url).await?.error_for_status()?.text().await
-    })?;
-    println!("{body}");
+    let path = if options.json { "burn" } else { "burn.txt" };
+    for address in &options.operators {
+        let body = runtime.block_on(async {
+            let url = format!("http://{address}/{path}");
+            reqwest::get(url).await?.error_for_status()?.text().await
+        })?;
+        println!("{}", body.trim_end());
+    }
     Ok(())
 }
--- a/chervildrift/src/serve/burn.rs
+++ b/chervildrift/src/serve/burn.rs
@@ -1,5 +1,6 @@
 //! Service-level burn as the event loop handles it.
 
+use std::fmt;
 use std::sync::PoisonError;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,8 +12,8 @@
 use serde::{Deserialize, Serialize};
 use slog::debug;
 
-use super::Input;
 use super::node::Node;
+use super::{BurnReport, Input};
 use crate::platform::{Condition, Platform, Written};
 
 /// Table of the snapshots.
@@ -54,6 +55,18 @@
     vm: Vm,
 }
 
+impl fmt::Display for Report<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for summary in &self.summaries {
+            writeln!(f, "{summary}")?;
+        }
+        for Elsewhere { service, vm } in &self.elsewhere {
+            writeln!(f, "{service}: {vm} answers for this service")?;
+        }
+        Ok(())
+    }
+}
+
 impl Node {
     /// Tells the counters which objectives the configuration declares.
     pub(super) fn declare_objectives(&mut self) {
@@ -85,17 +98,20 @@
         }
         self.burn_at = now + TICK;
         self.burn_event(Event::Tick);
+        self.show_state();
         let report = self.burn_report(now);
         report
             .summaries
             .iter()
             .for_each(|summary| self.show_burn(summary));
-        let body = serde_json::to_vec(&report).unwrap_or_default();
-        *self
+        let json = serde_json::to_vec(&report).unwrap_or_default();
+        let text = report.to_string().into_bytes();
+        let mut shared = self
             .shared
             .burn
             .lock()
-            .unwrap_or_else(PoisonError::into_inner) = body;
+            .unwrap_or_else(PoisonError::into_inner);
+        *shared = BurnReport { json, text };
     }
 
     fn show_burn(&self, summary: &burn::Summary) {
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -90,6 +90,7 @@
                 membership::Action::Replaced => {
                     error!(self.log, "another process has this VM's name; stopping");
                     self.stopping = true;
+                    self.shared.replaced.store(true, Ordering::Release);
                 }
             }
         }
--- a/chervildrift/src/serve/mod.rs
+++ b/chervildrift/src/serve/mod.rs
@@ -68,10 +68,19 @@
     Listed(Vec<Seed>, Vec<String>),
     /// The end of a read or write of a burn snapshot.
     Burn(chervildrift_core::burn::Event),
-    /// A planned stop; the answer tells whether all work had ended.
+    /// A planned stop begins.
+    Leave,
+    /// All callers have their answers; the reply tells whether all other work has ended too.
     Stop(oneshot::Sender<bool>),
 }
 
+/// Report on service-level burn in both of its forms.
+#[derive(Debug, Default)]
+struct BurnReport {
+    json: Vec<u8>,
+    text: Vec<u8>,
+}
+
 /// What the listeners' threads share with the event loop.
 #[derive(Debug)]
 struct Shared {
@@ -79,6 +88,8 @@
     /// Time of the last tick, in microseconds since the start.
     ticked: AtomicU64,
     metrics: Metrics,
-    /// Report on service-level burn as JSON.
-    burn: Mutex<Vec<u8>>,
+    /// Whether another process has taken this VM's name.
+    replaced: AtomicBool,
+    /// Report on service-level burn.
+    burn: Mutex<BurnReport>,
 }
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -6,7 +6,7 @@
 
 use chervildrift_core::burn::Burn;
 use chervildrift_core::config::{Bundle, Settings};
-use chervildrift_core::failover::{Action, Event, Promoter};
+use chervildrift_core::failover::{Action, Answer, Event, Promoter};
 use chervildrift_core::generation::{self, Generations};
 use chervildrift_core::membership::Membership;
 use chervildrift_core::placement::{self, Placement};
@@ -146,6 +146,18 @@
         let Some(group) = self.groups.get_mut(id) else {
             return;
         };
+        if let Event::Promoted {
+            answer: Some(Answer::Granted { .. }),
+            ..
+        } = event
+        {
+            let labels = [id.service.as_str(), id.instance.as_str()];
+            self.shared
+                .metrics
+                .promotions
+                .with_label_values(&labels)
+                .inc();
+        }
         if let Event::Promoted {
             index,
             term,
--- a/chervildrift/src/serve/observe.rs
+++ b/chervildrift/src/serve/observe.rs
@@ -4,6 +4,7 @@
 
 use chervildrift_core::burn::Series;
 use chervildrift_core::config::Objective;
+use chervildrift_core::types::Rank;
 use slog::debug;
 
 use super::entry::Pending;
@@ -43,7 +44,31 @@
         debug!(self.log, "answered"; "request" => format!("{:016x}", request.id),
             "service" => service, "kind" => kind, "result" => &result,
             "took_us" => took.as_micros() as u64);
-        self.record_burn(pending, answer.is_ok(), took);
+        // A faulty statement is its caller's; it says nothing about the service.
+        let callers_fault = matches!(answer, Err(problem) if problem.kind.status() < 500);
+        if !callers_fault {
+            self.record_burn(pending, answer.is_ok(), took);
+        }
+    }
+
+    /// Renews the metrics of queues and members.
+    pub(super) fn show_state(&self) {
+        let metrics = &self.shared.metrics;
+        for (name, dispatcher) in &self.dispatchers {
+            for rank in Rank::ALL {
+                let queued = dispatcher.scheduler.queued(rank);
+                let labels = [name.as_str(), &rank.to_string()];
+                metrics.queued.with_label_values(&labels).set(count(queued));
+            }
+        }
+        metrics.members.reset();
+        metrics.members.with_label_values(&["alive"]).inc();
+        for member in self.membership.members() {
+            metrics
+                .members
+                .with_label_values(&[&member.state.to_string()])
+                .inc();
+        }
     }
 
     fn served_by(&self, pending: &Pending, upstream: Option<&str>) -> &'static str {
@@ -72,3 +97,7 @@
         self.burn.record(&series, good);
     }
 }
+
+fn count(number: usize) -> i64 {
+    i64::try_from(number).unwrap_or(i64::MAX)
+}
--- a/chervildrift/src/serve/serving.rs
+++ b/chervildrift/src/serve/serving.rs
@@ -243,7 +243,7 @@
             }
             Ran::Idle(transaction, results) => {
                 if let Some(dispatcher) = self.dispatchers.get_mut(name) {
-                    rest(dispatcher, now, &job.request, transaction);
+                    rest(dispatcher, now, &job.request, *transaction);
                 }
                 let mut reply = self.reply(State::Done, Some(name));
                 reply.answer = results.into_bytes();
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -46,6 +46,9 @@
 /// Time without a tick after which the VM no longer counts as alive.
 const STALL: Duration = Duration::from_secs(5);
 
+/// Interval at which a VM looks whether another process has its name.
+const REPLACED_POLL: Duration = Duration::from_millis(200);
+
 /// Time that peers get to take the last messages of a stopping VM.
 const FAREWELL: Duration = Duration::from_millis(200);
 
@@ -57,6 +60,7 @@
     peers: peer::Handle,
     inputs: UnboundedSender<Input>,
     settings: Settings,
+    shared: Arc<Shared>,
     log: Logger,
     /// Ends the sockets' tasks when it is dropped.
     _io: Sockets,
@@ -93,19 +97,28 @@
         self.peers.address()
     }
 
+    /// Returns when another process has taken this VM's name.
+    pub async fn replaced(&self) {
+        while !self.shared.replaced.load(Ordering::Acquire) {
+            tokio::time::sleep(REPLACED_POLL).await;
+        }
+    }
+
     /// Stops gracefully; true when no request was cut.
     ///
     /// Readiness goes first, so that the balancer sends no more callers; then the listener closes
     /// once every request has its answer, and the dispatchers finish what they hold.
     pub async fn stop(self) -> bool {
-        let (reply, drained) = oneshot::channel();
-        let _ended = self.inputs.send(Input::Stop(reply));
+        let _ended = self.inputs.send(Input::Leave);
         self.callers.close_connections();
         tokio::time::sleep(Duration::from_millis(self.settings.stop.ready_ms)).await;
         let answered = self
             .callers
             .stop(Duration::from_millis(self.settings.stop.drain_ms))
             .await;
+        // The others learn of the end only now, since callers could still arrive until here.
+        let (reply, drained) = oneshot::channel();
+        let _ended = self.inputs.send(Input::Stop(reply));
         let drained = drained.await.unwrap_or(false);
         self.peers.stop(FAREWELL).await;
         self.operators.stop();
@@ -126,6 +139,7 @@
         ready: AtomicBool::new(false),
         ticked: AtomicU64::new(0),
         metrics: Metrics::open()?,
+        replaced: AtomicBool::new(false),
         burn: Mutex::default(),
     });
     let boot = wall_clock_ms();
@@ -191,6 +205,7 @@
         peers,
         inputs,
         settings,
+        shared,
         log,
         _io: Sockets(Some(io)),
     })
@@ -278,11 +293,13 @@
         }),
         ready: Box::new(move || ready.ready.load(Ordering::Acquire)),
         metrics: Box::new(move || metrics.metrics.render().unwrap_or_default()),
-        burn: Box::new(move || {
-            burn.burn
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .clone()
+        burn: Box::new(move |json| {
+            let report = burn.burn.lock().unwrap_or_else(PoisonError::into_inner);
+            if json {
+                report.json.clone()
+            } else {
+                report.text.clone()
+            }
         }),
     }
 }
@@ -319,7 +336,6 @@
                 }
                 for input in batch.drain(..) {
                     if let Input::Stop(reply) = input {
-                        node.leave();
                         stop.get_or_insert((Instant::now(), Some(reply)));
                     } else {
                         node.take(input);
@@ -357,6 +373,7 @@
             Input::Body(hash, body) => self.take_body(hash, body),
             Input::Burn(event) => self.burn_event(event),
             Input::Listed(seeds, leaving) => self.take_list(seeds, leaving),
+            Input::Leave => self.leave(),
             // Taken by the loop itself.
             Input::Stop(_) => {}
         }
--- a/chervildrift/src/serve/task.rs
+++ b/chervildrift/src/serve/task.rs
@@ -47,7 +47,7 @@
     /// A write, commit or settlement ended.
     Settled(Settled),
     /// A transaction is open and idle, with the results of its statements as JSON.
-    Idle(OpenTransaction, String),
+    Idle(Box<OpenTransaction>, String),
     /// A transaction ended without effect.
     Ended(Option<Error>),
 }
@@ -117,7 +117,7 @@
     match execute(&transaction.lease, statements).await {
         Ok(results) => {
             let answer = serde_json::Value::from(results).to_string();
-            Ran::Idle(transaction, answer)
+            Ran::Idle(Box::new(transaction), answer)
         }
         Err(err) => {
             rollback(transaction.lease).await;
--- a/chervildrift/src/try_out/mod.rs
+++ b/chervildrift/src/try_out/mod.rs
@@ -261,8 +261,8 @@
              {{\"sql\":\"select id, body from note\"}}]}}'\n\n\
              # metrics and service-level burn\n\
              curl -s http://{}/metrics\n\
-             chervildrift report burn --operators {}\n",
-            operators[0], operators[0]
+             chervildrift report burn --operators {} {}\n",
+            operators[0], operators[0], operators[1]
         )
     }
 }
@@ -361,7 +361,8 @@
 }
 
 fn random_hex(rng: &mut Rng) -> String {
-    (0..4).map(|_| format!("{:016x}", rng.next())).collect()
+    let words: Vec<String> = (0..4).map(|_| format!("{:016x}", rng.next())).collect();
+    words.concat()
 }
 
 fn wall_clock() -> u64 {
--- a/chervildrift/tests/primary_change.rs
+++ b/chervildrift/tests/primary_change.rs
@@ -72,7 +72,7 @@
 async fn frozen_primary() {
     let embedded = embedded().await;
     change_primary(&embedded, || {
-        embedded.upstreams()[0].fault(Fault::Freeze, 1)
+        embedded.upstreams()[0].fault(Fault::Freeze, 1);
     })
     .await;
     embedded.upstreams()[0].fault(Fault::Freeze, 0);
@@ -84,7 +84,7 @@
 async fn cut_off_primary() {
     let embedded = embedded().await;
     change_primary(&embedded, || {
-        embedded.upstreams()[0].fault(Fault::CutReplication, 1)
+        embedded.upstreams()[0].fault(Fault::CutReplication, 1);
     })
     .await;
 }
@@ -94,7 +94,7 @@
 async fn lost_answers() {
     let embedded = embedded().await;
     change_primary(&embedded, || {
-        embedded.upstreams()[0].fault(Fault::DropAnswer, 5)
+        embedded.upstreams()[0].fault(Fault::DropAnswer, 5);
     })
     .await;
     change_again(&embedded).await;
