--- /dev/null
+++ b/chervildrift_bench/src/path/target.rs
@@ -0,0 +1,162 @@
+//! What the load is sent to.
+
+use std::net::SocketAddr;
+
+use chervildrift::try_out::Embedded;
+use chervildrift_core::placement::Placement;
+use chervildrift_core::types::{Upstream, Vm, Zone};
+use reqwest::{Client, Response};
+use serde_json::{Value, json};
+use tokio_postgres::NoTls;
+use tokio_postgres::types::{ToSql, Type};
+
+use super::error::Error;
+
+/// Statement of a read.
+const READ: &str = "select body from note where id = $1";
+
+/// Statement of a write.
+const WRITE: &str = "insert into written values ($1)";
+
+/// Kind of work in a phase.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Work {
+    Read,
+    Write,
+}
+
+impl Work {
+    fn sql(self) -> &'static str {
+        match self {
+            Self::Read => READ,
+            Self::Write => WRITE,
+        }
+    }
+
+    fn kind(self) -> &'static str {
+        match self {
+            Self::Read => "look",
+            Self::Write => "save",
+        }
+    }
+}
+
+/// Where a phase sends its load.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    pub name: &'static str,
+    address: SocketAddr,
+    /// Credential at a VM; none means the upstream itself.
+    credential: Option<String>,
+}
+
+/// One open connection of the load.
+#[derive(Debug)]
+pub(super) enum Link {
+    Vm(Box<VmLink>),
+    Upstream(tokio_postgres::Client),
+}
+
+/// Keep-alive connection to a VM.
+#[derive(Debug)]
+pub(super) struct VmLink {
+    client: Client,
+    base: String,
+    credential: String,
+}
+
+/// Returns the upstream itself, the VM that dispatches for it, and the other VM.
+pub(super) fn all(embedded: &Embedded) -> [Target; 3] {
+    let callers = embedded.callers();
+    let first = first_dispatches();
+    let vm = |name, index: usize| Target {
+        name,
+        address: callers[index],
+        credential: Some(embedded.credential().to_owned()),
+    };
+    let direct = Target {
+        name: "upstream",
+        address: embedded.upstreams()[0].address(),
+        credential: None,
+    };
+    let [dispatcher, other] = if first { [0, 1] } else { [1, 0] };
+    [
+        direct,
+        vm("entry = dispatcher", dispatcher),
+        vm("other VM", other),
+    ]
+}
+
+/// Tells whether the first VM is the dispatcher of the first upstream.
+fn first_dispatches() -> bool {
+    let zone = Zone::from("local");
+    let mut placement = Placement::open();
+    placement.add(&Vm::from("vm-1"), &zone);
+    placement.add(&Vm::from("vm-2"), &zone);
+    let chosen = placement.dispatcher(&Upstream::from("demo-0"), &zone);
+    chosen == Some(&Vm::from("vm-1"))
+}
+
+impl Target {
+    /// Opens a connection of the load.
+    pub(super) async fn open(&self) -> Result<Link, Error> {
+        match &self.credential {
+            Some(credential) => Ok(Link::Vm(Box::new(VmLink::open(self.address, credential)?))),
+            None => open_upstream(self.address).await.map(Link::Upstream),
+        }
+    }
+}
+
+async fn open_upstream(address: SocketAddr) -> Result<tokio_postgres::Client, Error> {
+    let mut config = tokio_postgres::Config::new();
+    config.host(address.ip().to_string()).port(address.port());
+    config.user("chervildrift").dbname("chervildrift");
+    let (client, driver) = config.connect(NoTls).await?;
+    tokio::spawn(driver);
+    Ok(client)
+}
+
+impl Link {
+    /// Runs one piece of work; false when it was refused.
+    pub(super) async fn run(&self, work: Work, id: i64) -> Result<bool, Error> {
+        match self {
+            Self::Vm(link) => {
+                let params = json!([id]);
+                let response = link.send(work.kind(), work.sql(), &params).await?;
+                let good = response.status().is_success();
+                // The whole body is read, so that the connection can be used again.
+                response.bytes().await?;
+                Ok(good)
+            }
+            Self::Upstream(client) => {
+                let params: [(&(dyn ToSql + Sync), Type); 1] = [(&id, Type::INT8)];
+                Ok(client.query_typed(work.sql(), &params).await.is_ok())
+            }
+        }
+    }
+}
+
+impl VmLink {
+    /// Opens a client of one keep-alive connection.
+    pub(super) fn open(address: SocketAddr, credential: &str) -> Result<Self, Error> {
+        let client = Client::builder().pool_max_idle_per_host(1).build()?;
+        Ok(Self {
+            client,
+            base: format!("http://{address}/v1/demo"),
+            credential: credential.to_owned(),
+        })
+    }
+
+    /// Sends one statement.
+    pub(super) async fn send(
+        &self,
+        kind: &str,
+        sql: &str,
+        params: &Value,
+    ) -> Result<Response, Error> {
+        let body = json!({"key": "a", "statements": [{"sql": sql, "params": params}]});
+        let request = self.client.post(format!("{}/{kind}", self.base));
+        let request = request.bearer_auth(&self.credential).json(&body);
+        Ok(request.send().await?)
+    }
+}
