Revert "Pipeline the record of a write with its statements and commit"

Ruled out: Keeping it for its fewer round trips alone; it moves the point at which an outcome becomes unknown and was not tried under changes of primary.

Change: Restores the separate round trips.

--- a/chervildrift/src/upstream/write.rs
+++ b/chervildrift/src/upstream/write.rs
@@ -48,15 +48,12 @@
         Ok(status) => status,
         Err(err) => return Settled::RolledBack(err),
     };
-    // A refused insert aborts the transaction, so that no statement behind it takes effect.
-    let insert = insert_record(&lease, record, "running");
-    let (inserted, results) = pipeline(insert, execute(&lease, statements)).await;
-    match inserted {
+    match insert_record(&lease, record, "running").await {
         Ok(true) => {}
         Ok(false) => return recorded(lease, record, opened).await,
         Err(err) => return Settled::RolledBack(err),
     }
-    let results = match results {
+    let results = match execute(&lease, statements).await {
         Ok(results) => results,
         Err(err) => return roll_back(lease, err).await,
     };
@@ -104,17 +101,13 @@
     results: &[Value],
 ) -> Settled {
     let answer = Value::from(results).to_string();
-    let finish = async {
-        match record {
-            Some(record) => finish_record(&lease, record, &answer).await,
-            None => Ok(()),
-        }
-    };
-    let (finished, committed, status) =
-        join3(finish, lease.command(sql::COMMIT), lease.status()).await;
-    // The commit of a transaction whose record was refused rolls it back; a lost answer does not
-    // tell whether the commit behind it took effect.
-    if let Err(err) = finished.and(committed) {
+    if let Some(record) = record
+        && let Err(err) = finish_record(&lease, record, &answer).await
+    {
+        return roll_back(lease, err).await;
+    }
+    let (committed, status) = pipeline(lease.command(sql::COMMIT), lease.status()).await;
+    if let Err(err) = committed {
         return refused_commit(err);
     }
     match status {
