Make the path measurement pass the linter

Cause: clippy refused a cast from u64 to i64.

Ruled out: Allowing the lint; `cast_signed` says the same.

Change: Uses `cast_signed` for the row of a read.

--- a/chervildrift_bench/src/path/load.rs
+++ b/chervildrift_bench/src/path/load.rs
@@ -123,7 +123,7 @@
     let mut failed = 0;
     while begin.elapsed() < span {
         let sent = Instant::now();
-        let good = link.run(work, rng.below(ROWS) as i64).await?;
+        let good = link.run(work, rng.below(ROWS).cast_signed()).await?;
         let counted = sent >= begin && begin.elapsed() < span;
         if counted && good {
             latency.saturating_record(sent.elapsed().as_micros() as u64);
