Hold requests while a lost VM is still listed, and replay a recorded trace

Cause: after a dispatcher that was alone in its availability zone was killed, reads were refused within 0.1 s although their deadline was 5 s away (new test killed_transaction): tries that reached no VM used up the retry budget, and the throttle counted them as refused for load. Two other tests then failed once each because ports found free by binding were taken before the VM bound them. Ruled out: a larger retry budget, since tries that never left cost nothing. Before: killed_transaction fails. Conclusion: requests wait for the members to notice a lost VM.

--- a/chervildrift/src/serve/entry.rs
+++ b/chervildrift/src/serve/entry.rs
@@ -239,8 +239,8 @@
         let Some(pending) = self.entry.calls.get(&id) else {
             return true;
         };
-        // A step of a transaction frees what others wait for.
-        if pending.step.is_some() {
+        // A step of a transaction frees what others wait for, and a later try has passed before.
+        if pending.step.is_some() || pending.number > 0 {
             return true;
         }
         let key = (name, pending.request.kind.clone());
@@ -374,9 +374,19 @@
                 debug!(self.log, "forwarding failed"; "request" => format!("{id:016x}"),
                     "to" => %vm, "error" => %err);
                 self.suspect(now, &vm, &err);
+                // A peer that is reached but has no room is not tried for free.
+                let full = matches!(err, peer::Error::Busy | peer::Error::Refused);
+                let cause = if full {
+                    Cause::Overloaded
+                } else {
+                    Cause::OutOfReach
+                };
+                if !full {
+                    self.count_taken(now, id);
+                }
                 let proof = Unsent::prove(usize::from(err.sent()));
                 let failure = proof.map_or(Failure::Lost, Failure::Unsent);
-                self.fail_try(now, id, failure, Cause::OutOfReach);
+                self.fail_try(now, id, failure, cause);
             }
         }
     }
@@ -387,6 +397,10 @@
         if matches!(state, State::NotRun { reason } if overloaded.contains(reason)) {
             return;
         }
+        self.count_taken(now, id);
+    }
+
+    fn count_taken(&mut self, now: Time, id: u64) {
         let Some(pending) = self.entry.calls.get(&id) else {
             return;
         };
@@ -475,9 +489,11 @@
         let Some(Progress::MaybeSent(attempt)) = pending.progress.take() else {
             return;
         };
-        // A refusal for want of a primary costs the upstreams nothing and is paced, so it takes
-        // nothing from the budget; a failover would use it up within milliseconds.
-        let free = matches!(cause, Cause::NoPrimary | Cause::Moved);
+        // A try that was refused for want of a primary, or that no VM could be reached for, costs
+        // the upstreams nothing and is paced, so it takes nothing from the budget. A failover or a
+        // lost VM would otherwise use the budget up before the members know of it.
+        let unsent = matches!(failure, Failure::Unsent(_)) && cause == Cause::OutOfReach;
+        let free = unsent || matches!(cause, Cause::NoPrimary | Cause::Moved);
         let key = (pending.group.service.clone(), pending.request.kind.clone());
         let budget = self.entry.budgets.entry(key);
         let budget = budget.or_insert_with(|| RetryBudget::open(RetryRules::default()));
--- a/chervildrift/tests/fleet/mod.rs
+++ b/chervildrift/tests/fleet/mod.rs
@@ -3,15 +3,19 @@
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use sha2::{Digest, Sha256};
 
 pub const CREDENTIAL: &str = "a-credential-for-tests";
 
+/// Port of the first VM's callers' listener.
+const FIRST_PORT: u16 = 7_000;
+
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
 /// A child process that is killed when it is dropped.
@@ -55,6 +59,7 @@
     pub platform: SocketAddr,
     pub upstreams: Vec<SocketAddr>,
     pub vms: Vec<Vm>,
+    host: Ipv4Addr,
     folder: PathBuf,
     stand_ins: Vec<Process>,
     seeds: Vec<SocketAddr>,
@@ -76,6 +81,7 @@
             platform,
             upstreams: Vec::new(),
             vms: Vec::new(),
+            host: own_address(),
             folder,
             stand_ins: vec![process],
             seeds: Vec::new(),
@@ -142,7 +148,9 @@
     /// Starts one more VM.
     pub fn add(&mut self, zone: &str) {
         let name = format!("vm-{}", self.seeds.len());
-        let [callers, operators, peers] = free_addresses();
+        let port = FIRST_PORT + 3 * u16::try_from(self.seeds.len()).expect("a small fleet");
+        let [callers, operators, peers] =
+            [port, port + 1, port + 2].map(|port| SocketAddr::from((self.host, port)));
         let path = self.folder.join(format!("{name}.yaml"));
         let settings = self.settings(&name, zone, callers, operators, peers);
         std::fs::write(&path, settings).expect("writes the settings");
@@ -240,7 +248,17 @@
     (address.expect("an address"), Process(child))
 }
 
-fn free_addresses() -> [SocketAddr; 3] {
-    let listeners = [0; 3].map(|port| TcpListener::bind(("127.0.0.1", port)).expect("binds"));
-    listeners.map(|it| it.local_addr().expect("an address"))
+/// Returns a loopback address for one fleet alone.
+///
+/// Ports that are found free by binding and releasing them may be taken by a connection of another
+/// test before the VM binds them; nobody else uses this address.
+fn own_address() -> Ipv4Addr {
+    static FLEETS: AtomicU8 = AtomicU8::new(1);
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(
+        127,
+        64 | (high & 63),
+        low,
+        FLEETS.fetch_add(1, Ordering::Relaxed),
+    )
 }
--- a/chervildrift/tests/separate_processes.rs
+++ b/chervildrift/tests/separate_processes.rs
@@ -215,3 +215,40 @@
     }
     check_once(&fleet, 1, &confirmed).await;
 }
+
+/// Guards against statements of a transaction that take effect although the VM that held its
+/// connection was killed before the commit.
+#[tokio::test]
+async fn killed_transaction() {
+    let fleet = Fleet::spawn("killed-transaction", &ZONES).await;
+    create_table(&fleet).await;
+    let [first, second] = [fleet.vms[0].callers, fleet.vms[1].callers];
+    let mut session = Session::open(CREDENTIAL);
+    let body = r#"{"key":"a","statements":[{"sql":"insert into note values (1)"}]}"#;
+    let opened = session
+        .post(second, "/v1/demo/save/transactions", body)
+        .await;
+    let id = opened.body["transaction"]
+        .as_str()
+        .expect("an identifier")
+        .to_owned();
+    // The dispatcher of the primary is the only VM of its availability zone.
+    fleet.vms[0].process.signal("KILL");
+    let commit = format!("/v1/transactions/{id}/commit");
+    let committed = session.post(second, &commit, "").await;
+    assert_ne!(committed.status, 200, "{:?}", committed.body);
+    assert!(
+        ["failed", "unknown", "not_run"].contains(&committed.state()),
+        "{:?}",
+        committed.body
+    );
+    let sql = "select count(*) from note";
+    let read = session.run(second, "look", sql, json!([])).await;
+    assert_eq!(
+        read.body["results"][0]["rows"][0][0],
+        json!(0),
+        "{:?}",
+        read.body
+    );
+    assert_ne!(first, second);
+}
--- /dev/null
+++ b/chervildrift_core/tests/recorded_traces.rs
@@ -0,0 +1,47 @@
+//! Replay of traces that running VMs have recorded.
+
+use chervildrift_core::trace::replay;
+
+/// Recorded by `serve --record` while the process of the primary was killed.
+const KILLED_PRIMARY: &str = include_str!("traces/killed-primary.trace");
+
+/// Guards against a decision of the coordinator that changes unnoticed, and against a recorded
+/// change of primary that no longer ends with its stated outcome.
+#[test]
+fn killed_primary() {
+    let report = replay(KILLED_PRIMARY).expect("the trace is valid");
+    assert_eq!(report.differences, []);
+    assert!(report.events > 500, "only {} events", report.events);
+}
+
+/// Guards against a replay that accepts whatever a trace states.
+#[test]
+fn false_outcome() {
+    let stated = r#"{"outcome":{"primary":1,"term":2}}"#;
+    let other = r#"{"outcome":{"primary":2,"term":2}}"#;
+    let report = replay(&KILLED_PRIMARY.replace(stated, other)).expect("the trace is valid");
+    assert_eq!(report.differences.len(), 1);
+    let promoted = r#"{"Promote":{"index":1,"term":2}}"#;
+    assert!(
+        KILLED_PRIMARY.contains(promoted),
+        "the trace holds a promotion"
+    );
+    let another = r#"{"Promote":{"index":2,"term":2}}"#;
+    let report = replay(&KILLED_PRIMARY.replace(promoted, another)).expect("the trace is valid");
+    assert!(!report.differences.is_empty());
+}
+
+/// Guards against a trace that is cut or damaged and still counts as replayed.
+#[test]
+fn damaged_trace() {
+    let cut = &KILLED_PRIMARY[..KILLED_PRIMARY.len() / 2];
+    assert!(matches!(
+        replay(cut),
+        Err(chervildrift_core::trace::Error::Line(..))
+    ));
+    let headless = KILLED_PRIMARY.split_once('\n').expect("several lines").1;
+    assert!(matches!(
+        replay(headless),
+        Err(chervildrift_core::trace::Error::Unopened)
+    ));
+}
