Hold writes through a change of primary

Cause: during 100 changes of primary on running VMs, 32,849 requests were refused as not run and 428 ended unknown, although their deadline was 5 s away and a gap lasted 0.9 s at most. Dispatchers that could not connect to the lost primary refused them, and the retry budget (3 and 10% of requests in 10 s) was used up within milliseconds. Ruled out: the throttle (no refusal named a load) and the coordinators (the gap was the same before and after). Change: tries refused for want of a connection are paced and free; the budget has 20 retries beyond its share, since a change of primary repeats the writes in flight at once. Conclusion: callers see a pause in place of errors.

--- a/chervildrift/src/serve/accept.rs
+++ b/chervildrift/src/serve/accept.rs
@@ -18,6 +18,11 @@
 /// Time limit of a step that names no kind of work: commit, rollback, settling an outcome.
 const STEP_DEADLINE: Duration = Duration::from_secs(5);
 
+/// Retries of a kind in one window beyond its share of requests.
+///
+/// A change of primary repeats the writes that were in flight at once, a few for each slot.
+const FAILOVER_RETRIES: f64 = 20.0;
+
 /// What a call needs before it can be routed.
 struct Accepted {
     group: GroupId,
@@ -216,11 +221,19 @@
         let key = (request.service.clone(), request.kind.clone());
         let budget = self.entry.budgets.entry(key);
         budget
-            .or_insert_with(|| RetryBudget::open(RetryRules::default()))
+            .or_insert_with(|| RetryBudget::open(retry_rules()))
             .request(now);
     }
 }
 
+/// Returns the rules of a kind's retry budget.
+pub(super) fn retry_rules() -> RetryRules {
+    RetryRules {
+        constant: FAILOVER_RETRIES,
+        ..RetryRules::default()
+    }
+}
+
 fn pick(declaration: &Declaration, key: &str) -> Result<GroupId, Problem> {
     let group = declaration.group(key).ok_or_else(|| {
         let detail = "the key picks no instance of the service";
--- a/chervildrift/src/serve/entry.rs
+++ b/chervildrift/src/serve/entry.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervildrift_core::config::{Access, Declaration, GroupSpec, KindSpec};
-use chervildrift_core::limit::{RetryBudget, RetryRules, Throttle};
+use chervildrift_core::limit::{RetryBudget, Throttle};
 use chervildrift_core::route::{
     self, Attempt, Cause, Failure, GroupCache, MaybeSent, Next, NotSent, Path, Ranked, Refused,
     Repeat, Route, Unsent, choose, on_failure,
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use super::Input;
+use super::accept::retry_rules;
 use super::node::Node;
 use crate::peer;
 use crate::peer::message::{GroupState, Load, Reply, Request, State, Step as TransactionStep};
@@ -489,14 +490,14 @@
         let Some(Progress::MaybeSent(attempt)) = pending.progress.take() else {
             return;
         };
-        // A try that was refused for want of a primary, or that no VM could be reached for, costs
-        // the upstreams nothing and is paced, so it takes nothing from the budget. A failover or a
-        // lost VM would otherwise use the budget up before the members know of it.
-        let unsent = matches!(failure, Failure::Unsent(_)) && cause == Cause::OutOfReach;
-        let free = unsent || matches!(cause, Cause::NoPrimary | Cause::Moved);
+        // A try that found no VM, no primary or no connection to it costs the upstreams nothing and
+        // is paced, so it takes nothing from the budget. A failover or a lost VM would otherwise
+        // use the budget up before anyone knows of it.
+        let waiting = cause == Cause::OutOfReach && !matches!(failure, Failure::Lost);
+        let free = waiting || matches!(cause, Cause::NoPrimary | Cause::Moved);
         let key = (pending.group.service.clone(), pending.request.kind.clone());
         let budget = self.entry.budgets.entry(key);
-        let budget = budget.or_insert_with(|| RetryBudget::open(RetryRules::default()));
+        let budget = budget.or_insert_with(|| RetryBudget::open(retry_rules()));
         let allowed = free || budget.retry(now);
         match on_failure(now, attempt, failure, allowed) {
             Next::Retry(attempt) => {
