Split the entry and dispatcher modules by their jobs

Ruled out: moving the state as well; the event loop owns it in one place. Change: knowledge, forward, outcome and conclude are modules of their own, and imports are grouped as std, external, crate. No behaviour changes. Conclusion: each file of serve has one job.

--- a/chervildrift/src/gossip/seal.rs
+++ b/chervildrift/src/gossip/seal.rs
@@ -1,8 +1,7 @@
 //! Envelope of a datagram: proof of the fleet key, sender's epoch and number, content.
 
-use crate::peer::{Error, FleetKey};
-
 use super::Fault;
+use crate::peer::{Error, FleetKey};
 
 /// Greatest datagram in bytes without the IP and UDP headers, which take 28 of 1,200.
 pub const PAYLOAD_BYTES: usize = chervildrift_core::membership::DATAGRAM_BYTES - 28;
--- a/chervildrift/src/peer/mod.rs
+++ b/chervildrift/src/peer/mod.rs
@@ -50,6 +50,7 @@
 use tokio::sync::mpsc;
 
 use self::context::Seed;
+
 pub use self::counts::{Count, Counts};
 pub use self::error::Error;
 pub use self::handle::Handle;
--- a/chervildrift/src/platform/mod.rs
+++ b/chervildrift/src/platform/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 
 use self::backoff::Backoff;
+
 pub use self::error::Error;
 pub use self::limits::Limits;
 pub use self::records::{Condition, Deleted, Listed, Row, Scan, Tag, Written};
--- a/chervildrift/src/serve/dispatcher.rs
+++ b/chervildrift/src/serve/dispatcher.rs
@@ -7,13 +7,13 @@
 use chervildrift_core::dispatch::{JobId, KindPolicy, Policy, Scheduler};
 use chervildrift_core::transaction::{Limits, TransactionId, Transactions};
 use chervildrift_core::types::{Caller, GroupId, Rank, Time};
+use tokio::task::AbortHandle;
 
 use super::task::{OpenTransaction, Task};
 use crate::peer::message::{Load, Request, Step};
 use crate::peer::{Reply, State};
 use crate::upstream::{Login, Pool};
 use crate::work::Reason;
-use tokio::task::AbortHandle;
 
 /// Connections of an upstream that are kept for status reads and orders of all candidates.
 const CONTROL_CONNECTIONS: usize = 6;
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -1,6 +1,7 @@
 //! Membership and configuration as the event loop handles them.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chervildrift_core::burn;
@@ -10,7 +11,6 @@
 use chervildrift_core::placement;
 use chervildrift_core::types::{Time, Upstream, Vm};
 use slog::{error, info, warn};
-use std::sync::atomic::Ordering;
 
 use super::Input;
 use super::node::Node;
--- a/chervildrift/src/serve/mod.rs
+++ b/chervildrift/src/serve/mod.rs
@@ -3,13 +3,17 @@
 mod accept;
 mod burn;
 mod clock;
+mod conclude;
 mod dispatcher;
 mod entry;
 mod error;
 mod fleet;
+mod forward;
 mod group;
+mod knowledge;
 mod node;
 mod observe;
+mod outcome;
 mod record;
 mod serving;
 mod start;
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -19,11 +19,11 @@
 use tokio::sync::oneshot;
 
 use super::clock::Clock;
+use super::conclude::confirm;
 use super::dispatcher::Dispatcher;
 use super::entry::Entry;
 use super::group::{Candidate, Group};
 use super::record::Recorder;
-use super::serving::confirm;
 use super::{Input, Shared};
 use crate::peer::message::GroupState;
 use crate::platform::Platform;
