--- a/chervildrift/src/serve/burn.rs
+++ b/chervildrift/src/serve/burn.rs
@@ -84,7 +84,7 @@
                 };
                 objectives.push(Objective {
                     series,
-                    target: objective.target_percent / 100.0,
+                    target: share(objective.target_percent),
                 });
             }
         }
@@ -260,6 +260,11 @@
     }
 }
 
+/// Converts percent to a share, rounded so that 99.9 does not become 0.9990000000000001.
+fn share(percent: f64) -> f64 {
+    (percent * 1e6).round() / 1e8
+}
+
 fn wall_clock_ms() -> u64 {
     let since = SystemTime::now()
         .duration_since(UNIX_EPOCH)
