Tell late observers of leaving upstreams, and end overdue calls

Ruled out: nothing was seen to fail; these are findings of reading. Change: a new observer is told of the leaving upstreams, calls end 1 s after their deadline, and seeds need a port. A test starts VMs after an upstream was listed as leaving; it was not run on the code before. Conclusion: each call has an end that does not depend on a reply.

--- a/chervildrift/src/serve/entry.rs
+++ b/chervildrift/src/serve/entry.rs
@@ -21,6 +21,9 @@
 /// Time after which a held request is routed again.
 pub(super) const HOLD_PAUSE: Duration = Duration::from_millis(40);
 
+/// Time after a deadline within which the dispatcher's reply must have come.
+const REPLY_GRACE: Duration = Duration::from_secs(1);
+
 /// Requests that one VM holds for callers at a time.
 const MAX_CALLS: usize = 20_000;
 
@@ -129,6 +132,23 @@
         }
     }
 
+    /// Answers the requests whose reply never came, after their deadline and a grace.
+    ///
+    /// A dispatcher answers by the deadline; this covers a reply that was dropped on its way.
+    fn give_up_overdue(&mut self, now: Time) {
+        let overdue = |it: &Pending| now.since(it.deadline) > REPLY_GRACE;
+        let ids: Vec<u64> = self
+            .entry
+            .calls
+            .iter()
+            .filter(|(_, it)| overdue(it))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ids {
+            self.give_up(id, Cause::Deadline);
+        }
+    }
+
     /// Routes the held requests whose pause is over.
     pub(super) fn route_held(&mut self, now: Time) {
         let due = |it: &Pending| it.retry_at.is_some_and(|at| at <= now);
@@ -143,6 +163,7 @@
         for (_, id) in held {
             self.route(id);
         }
+        self.give_up_overdue(now);
     }
 
     /// Returns the dispatchers of each upstream of a request's group.
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -249,9 +249,10 @@
                 vm: Some(Vm::from(it.name.as_str())),
                 address: it.address,
             };
+            // A listed VM without a port can't be asked.
             let seeds = listed
                 .iter()
-                .filter(|it| it.state != VmState::Leaving)
+                .filter(|it| it.state != VmState::Leaving && it.address.port() != 0)
                 .map(seed)
                 .collect();
             let _ended = inputs.send(Input::Listed(seeds, leaving));
@@ -270,7 +271,7 @@
         let actions = self.membership.handle(now, membership::Event::Seeds(seeds));
         self.carry_out(now, actions);
         let named = leaving.into_iter().filter(|name| upstreams.contains(name));
-        self.set_leaving(now, named.map(Upstream::from).collect());
+        self.set_leaving(named.map(Upstream::from).collect());
     }
 
     fn upstream_names(&self) -> std::collections::HashSet<String> {
@@ -282,7 +283,7 @@
     }
 
     /// Takes new work away from leaving upstreams and moves their primaries.
-    fn set_leaving(&mut self, now: Time, leaving: std::collections::HashSet<Upstream>) {
+    fn set_leaving(&mut self, leaving: std::collections::HashSet<Upstream>) {
         if leaving == self.leaving {
             return;
         }
@@ -291,11 +292,11 @@
                 "leaving" => leaving.contains(name));
         }
         self.leaving = leaving;
-        self.tell_leaving(now);
+        self.tell_leaving();
     }
 
     /// Tells the coordinators which upstreams are leaving.
-    pub(super) fn tell_leaving(&mut self, _now: Time) {
+    pub(super) fn tell_leaving(&mut self) {
         let mut events = Vec::new();
         for (id, group) in &self.groups {
             for (index, spec) in group.spec.upstreams.iter().enumerate() {
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -295,6 +295,10 @@
         };
         let group = Group::open(now, id.clone(), spec, &candidate, &login, recorder);
         self.groups.insert(id.clone(), group);
+        // The list may have named leaving upstreams before this group was observed.
+        if !self.leaving.is_empty() {
+            self.tell_leaving();
+        }
     }
 
     /// Returns this VM's place among the candidates of a group.
--- a/chervildrift/tests/separate_processes.rs
+++ b/chervildrift/tests/separate_processes.rs
@@ -252,3 +252,31 @@
     );
     assert_ne!(first, second);
 }
+
+/// Guards against a VM that starts after an upstream was listed as leaving and leaves the primary
+/// there.
+#[tokio::test]
+async fn leaving_before_start() {
+    let mut fleet = Fleet::spawn("leaving-before-start", &[]).await;
+    let entry = json!({
+        "name": "demo-0", "address": fleet.upstreams[0], "zone": "north", "state": "leaving",
+    });
+    let url = format!("http://{}/vms/demo-0", fleet.platform);
+    reqwest::Client::new()
+        .put(url)
+        .json(&entry)
+        .send()
+        .await
+        .expect("lists the upstream");
+    for zone in ZONES {
+        fleet.add(zone);
+    }
+    fleet.await_ready().await;
+    let vm = fleet.vms[1].callers;
+    await_true("the primary stays at a leaving upstream", async || {
+        let mut session = Session::open(CREDENTIAL);
+        let read = session.run(vm, "look", "select 1", json!([])).await;
+        read.status == 200 && read.body["served_by"] != json!("demo-0")
+    })
+    .await;
+}
