Close silent connections sooner, and test the operators' commands

Ruled out: the worker threads, since an open connection was served meanwhile. Change: the idle limit is 15 s by default and 5 s for `try`; tests of check, publish, report burn and metrics as commands; a write that is refused during a change of primary fails the tests of primary changes. Conclusion: a flood of silent connections shuts new callers out for the idle limit at most.

--- a/chervildrift/src/try_out/mod.rs
+++ b/chervildrift/src/try_out/mod.rs
@@ -333,7 +333,7 @@
             threads: 2,
             connections: 1_000,
             receive_ms: 5_000,
-            idle_ms: 60_000,
+            idle_ms: 5_000,
         },
         operators: Operators {
             listen: loopback(0),
--- a/chervildrift/tests/bad_input.rs
+++ b/chervildrift/tests/bad_input.rs
@@ -158,3 +158,29 @@
         "a connection that never sends its head stays open"
     );
 }
+
+/// Guards against a flood of silent connections that shuts other callers out for good.
+#[tokio::test]
+async fn connection_flood() {
+    let embedded = embedded().await;
+    let vm = embedded.callers()[0];
+    let mut known = Session::open(embedded.credential());
+    known.run(vm, "look", "select 1", json!([])).await;
+    let mut flood = Vec::new();
+    for _ in 0..1_050 {
+        flood.push(TcpStream::connect(vm).await.expect("connects"));
+    }
+    let served = known.run(vm, "look", "select 1", json!([])).await;
+    assert_eq!(
+        served.status, 200,
+        "an open connection is not served: {:?}",
+        served.body
+    );
+    let mut late = Session::open(embedded.credential());
+    let served = late.run(vm, "look", "select 1", json!([]));
+    let served = tokio::time::timeout(Duration::from_secs(15), served).await;
+    assert!(
+        served.is_ok_and(|it| it.status == 200),
+        "a new caller is shut out"
+    );
+}
--- /dev/null
+++ b/chervildrift/tests/operator_commands.rs
@@ -0,0 +1,120 @@
+//! Commands that operators run, as processes.
+
+mod demo;
+mod fleet;
+
+use std::process::{Command, Output};
+
+use demo::{Session, embedded};
+use fleet::{Fleet, await_true};
+use serde_json::json;
+
+fn run(arguments: &[&str]) -> Output {
+    let command = Command::new(env!("CARGO_BIN_EXE_chervildrift"))
+        .args(arguments)
+        .output();
+    command.expect("the command runs")
+}
+
+fn text(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+/// Guards against a mistake in a file that passes, or that is shown without place and remedy.
+#[test]
+fn check_files() {
+    let folder = std::env::temp_dir().join(format!("check-files-{}", std::process::id()));
+    std::fs::create_dir_all(folder.join("service")).expect("a folder");
+    let example = include_str!("../../examples/ring-ledger.yaml");
+    let path = folder.join("service/chervildrift.yaml");
+    let folder_text = folder.to_string_lossy().into_owned();
+    std::fs::write(&path, example).expect("writes the file");
+    let good = run(&["check", &folder_text]);
+    assert_eq!(good.status.code(), Some(0), "{}", text(&good));
+    std::fs::write(&path, example.replace("slots: 5", "slots: 0")).expect("writes the file");
+    let bad = run(&["check", &folder_text]);
+    assert_eq!(bad.status.code(), Some(2));
+    assert!(
+        text(&bad).contains("chervildrift.yaml:9:"),
+        "{}",
+        text(&bad)
+    );
+    assert!(
+        text(&bad).contains("slots is 0; give a number of at least 1"),
+        "{}",
+        text(&bad)
+    );
+    let explained = run(&["check", "--explain"]);
+    assert!(
+        text(&explained).contains("receive_ms: 5000"),
+        "{}",
+        text(&explained)
+    );
+    std::fs::remove_dir_all(folder).expect("removes the folder");
+}
+
+/// Guards against an empty publish, which would take every service away, and against a publish
+/// over a generation that its files were not made for.
+#[tokio::test]
+async fn publish_guards() {
+    let fleet = Fleet::spawn("publish-guards", &[]).await;
+    let folder = std::env::temp_dir().join(format!("publish-guards-{}-empty", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let platform = fleet.platform.to_string();
+    let folder_text = folder.to_string_lossy().into_owned();
+    let base = ["publish", "--platform", &platform, "--author", "ops"];
+    let empty = run(&[&base[..], &[&folder_text]].concat());
+    assert_eq!(empty.status.code(), Some(2), "{}", text(&empty));
+    let path = folder.join("chervildrift.yaml");
+    std::fs::write(&path, fleet.declaration("")).expect("writes the file");
+    let late = run(&[&base[..], &["--expect", "0", &folder_text]].concat());
+    assert_eq!(late.status.code(), Some(2), "{}", text(&late));
+    assert!(
+        text(&late).contains("first published generation 1 first"),
+        "{}",
+        text(&late)
+    );
+    std::fs::remove_dir_all(folder).expect("removes the folder");
+}
+
+/// Guards against a burn report that an operator can't read, and against metrics that are
+/// registered and never set.
+#[tokio::test]
+async fn burn_report() {
+    let embedded = embedded().await;
+    let mut session = Session::open(embedded.credential());
+    let written = session
+        .run(embedded.callers()[0], "save", "select 1", json!([]))
+        .await;
+    assert_eq!(written.status, 200, "{:?}", written.body);
+    let addresses: Vec<String> = embedded
+        .operators()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    let arguments = [
+        "report",
+        "burn",
+        "--operators",
+        &addresses[0],
+        &addresses[1],
+    ];
+    await_true("no VM answers for the service", async || {
+        let report = text(&run(&arguments));
+        report.contains("kind") && report.contains("save") && report.contains("0.999 ")
+    })
+    .await;
+    let url = format!("http://{}/metrics", addresses[0]);
+    let metrics = reqwest::get(url)
+        .await
+        .expect("answers")
+        .text()
+        .await
+        .expect("a text");
+    for name in [
+        "chervildrift_members{state=\"alive\"} 2",
+        "chervildrift_generation 1",
+    ] {
+        assert!(metrics.contains(name), "{name} is missing in {metrics}");
+    }
+}
--- a/chervildrift/tests/primary_change.rs
+++ b/chervildrift/tests/primary_change.rs
@@ -37,6 +37,8 @@
         }
         let sql = "insert into note values ($1)";
         let reply = session.run(vms[id % 2], "save", sql, json!([id])).await;
+        // The deadline of 5 s lies beyond every gap, so a write is held and never refused.
+        assert_ne!(reply.state(), "not_run", "{:?}", reply.body);
         if reply.status == 200 {
             confirmed.push(id);
             gap = gap.max(last.elapsed());
--- a/chervildrift_core/src/config/explain.rs
+++ b/chervildrift_core/src/config/explain.rs
@@ -16,7 +16,7 @@
   threads: 2                  worker threads
   connections: 10000          connections open at a time
   receive_ms: 5000            time within which a request must arrive, in ms
-  idle_ms: 60000              time after which an idle connection is closed, in ms
+  idle_ms: 15000              time after which an idle connection is closed, in ms
 operators:
   listen: IP:PORT             metrics, liveness and readiness (required)
 peers:
--- a/chervildrift_core/src/config/settings.rs
+++ b/chervildrift_core/src/config/settings.rs
@@ -73,7 +73,7 @@
     }
 
     const fn idle_ms() -> u64 {
-        60_000
+        15_000
     }
 }
 
