Accept only finished idempotency records, and tidy imports

Cause: reading the adapter again, a record in the state `running` would have been answered as done with empty results. Ruled out: treating it as not run, since its statements may have run. Conclusion: a record counts only when it holds its answer.

--- a/chervildrift/src/serve/accept.rs
+++ b/chervildrift/src/serve/accept.rs
@@ -1,5 +1,6 @@
 //! Acceptance of a caller's call: checks, routing data and the idempotency record.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervildrift_core::config::{Access, Declaration, KindSpec};
@@ -56,7 +57,7 @@
             let detail = "this VM holds too many requests";
             return Err(Problem::not_run(ProblemKind::Overloaded, detail));
         }
-        let bundle = std::sync::Arc::clone(&self.bundle);
+        let bundle = Arc::clone(&self.bundle);
         let declaration = bundle.service(call.service.as_str()).ok_or_else(|| {
             let detail = format!("service {} is not declared", call.service);
             Problem::not_run(ProblemKind::UnknownService, detail)
--- a/chervildrift/src/serve/dispatcher.rs
+++ b/chervildrift/src/serve/dispatcher.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervildrift_core::config::{Declaration, UpstreamSpec};
-use chervildrift_core::dispatch::{JobId, KindPolicy, Policy, Scheduler};
+use chervildrift_core::dispatch::{self, JobId, KindPolicy, Policy, Scheduler};
 use chervildrift_core::transaction::{Limits, TransactionId, Transactions};
 use chervildrift_core::types::{Caller, GroupId, Rank, Time};
 use tokio::task::AbortHandle;
@@ -141,9 +141,9 @@
         queue_limits: [slots * QUEUE_PER_SLOT; Rank::COUNT],
         floors,
         kinds: kinds.collect(),
-        window: chervildrift_core::dispatch::WINDOW,
+        window: dispatch::WINDOW,
         reserve: RESERVE,
-        ramp: chervildrift_core::dispatch::RAMP,
+        ramp: dispatch::RAMP,
         adaptive: true,
     }
 }
--- a/chervildrift/src/serve/entry.rs
+++ b/chervildrift/src/serve/entry.rs
@@ -1,6 +1,7 @@
 //! The entry's side of a request: from the caller to a dispatcher and back.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervildrift_core::config::{Access, Declaration, GroupSpec, KindSpec};
@@ -169,7 +170,7 @@
     /// Returns the dispatchers of each upstream of a request's group.
     pub(super) fn ranked(&mut self, id: u64) -> Option<SmallVec<[Ranked; 3]>> {
         let pending = self.entry.calls.get(&id)?;
-        let bundle = std::sync::Arc::clone(&self.bundle);
+        let bundle = Arc::clone(&self.bundle);
         let declaration = bundle.service(pending.group.service.as_str())?;
         let group = find_group(declaration, &pending.group)?;
         let placement = &mut self.placement;
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -1,11 +1,13 @@
 //! Membership and configuration as the event loop handles them.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use chervildrift_core::burn;
 use chervildrift_core::config::Bundle;
+use chervildrift_core::failover;
 use chervildrift_core::generation::{self, BundleHash, Head, Version};
 use chervildrift_core::membership::{self, Member, Seed};
 use chervildrift_core::placement;
@@ -262,7 +264,7 @@
     /// Takes the platform's list of VMs, which also names the upstreams that leave.
     pub(super) fn take_list(&mut self, mut seeds: Vec<Seed>, leaving: Vec<String>) {
         let now = self.clock.now();
-        let upstreams: std::collections::HashSet<String> = self.upstream_names();
+        let upstreams: HashSet<String> = self.upstream_names();
         seeds.retain(|it| {
             it.vm
                 .as_ref()
@@ -274,7 +276,7 @@
         self.set_leaving(named.map(Upstream::from).collect());
     }
 
-    fn upstream_names(&self) -> std::collections::HashSet<String> {
+    fn upstream_names(&self) -> HashSet<String> {
         let groups = self.bundle.declarations().iter().flat_map(|it| &it.groups);
         groups
             .flat_map(|it| &it.upstreams)
@@ -283,7 +285,7 @@
     }
 
     /// Takes new work away from leaving upstreams and moves their primaries.
-    fn set_leaving(&mut self, leaving: std::collections::HashSet<Upstream>) {
+    fn set_leaving(&mut self, leaving: HashSet<Upstream>) {
         if leaving == self.leaving {
             return;
         }
@@ -301,7 +303,7 @@
         for (id, group) in &self.groups {
             for (index, spec) in group.spec.upstreams.iter().enumerate() {
                 let leaving = self.leaving.contains(&spec.name);
-                let event = chervildrift_core::failover::Event::Leaving { index, leaving };
+                let event = failover::Event::Leaving { index, leaving };
                 events.push((id.clone(), event));
             }
         }
--- a/chervildrift/src/serve/knowledge.rs
+++ b/chervildrift/src/serve/knowledge.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of the groups it routes to.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use chervildrift_core::route::{self, GroupCache, Ranked};
@@ -34,7 +35,7 @@
         state: &GroupState,
         load: Option<(usize, Load)>,
     ) {
-        let bundle = std::sync::Arc::clone(&self.bundle);
+        let bundle = Arc::clone(&self.bundle);
         let declaration = bundle.service(group.service.as_str());
         let Some(spec) = declaration.and_then(|it| find_group(it, group)) else {
             return;
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use chervildrift_core::burn::Burn;
-use chervildrift_core::config::{Bundle, Settings};
+use chervildrift_core::config::{Bundle, GroupSpec, Settings};
 use chervildrift_core::failover::{Action, Answer, Event, Promoter};
 use chervildrift_core::generation::{self, Generations};
 use chervildrift_core::membership::Membership;
@@ -279,7 +279,7 @@
     }
 
     /// Opens the observer of a group unless there is one.
-    fn observe_group(&mut self, id: &GroupId, spec: &chervildrift_core::config::GroupSpec) {
+    fn observe_group(&mut self, id: &GroupId, spec: &GroupSpec) {
         if self.groups.contains_key(id) {
             return;
         }
@@ -348,7 +348,7 @@
     }
 
     /// Gives a group its new rank or, when its upstreams changed, a new observer.
-    fn refresh_group(&mut self, id: &GroupId, spec: &chervildrift_core::config::GroupSpec) {
+    fn refresh_group(&mut self, id: &GroupId, spec: &GroupSpec) {
         let Some(group) = self.groups.get(id) else {
             return;
         };
--- a/chervildrift/src/upstream/write.rs
+++ b/chervildrift/src/upstream/write.rs
@@ -237,6 +237,10 @@
     if state == "cancelled" {
         return acknowledgeable(opened, status, answer, true);
     }
+    // A record is finished in the transaction that inserts it, so no other state is ever committed.
+    if state != "done" {
+        return Settled::Unknown(Error::Unexpected("an unfinished record"));
+    }
     // A request that asks for an outcome states no digest.
     if !record.digest.is_empty() && digest != record.digest {
         return Settled::RolledBack(Error::KeyReused);
