--- a/chervildrift/src/serve/conclude.rs
+++ b/chervildrift/src/serve/conclude.rs
@@ -26,7 +26,8 @@
     pub(super) fn conclude(&mut self, now: Time, name: &Upstream, job: Job, ran: Ran) {
         match ran {
             Ran::NoConnection(err) => {
-                debug!(self.log, "no connection"; "upstream" => %name, "error" => %err);
+                debug!(self.log, "no connection"; "request" => format!("{:016x}", job.request.id),
+                    "upstream" => %name, "error" => %err);
                 let exhausted = matches!(err, Error::Exhausted);
                 let reason = if exhausted {
                     Reason::Overloaded
--- a/chervildrift/tests/separate_processes.rs
+++ b/chervildrift/tests/separate_processes.rs
@@ -6,9 +6,12 @@
 
 use std::time::{Duration, Instant};
 
+use chervildrift::upstream::{Connection, Login, Statement};
+use chervildrift_standin::upstream::FAULT_USER;
+use serde_json::json;
+
 use demo::Session;
 use fleet::{CREDENTIAL, Fleet, await_true};
-use serde_json::json;
 
 /// Time within which an accepted configuration is in force everywhere.
 const CONFIGURE_LIMIT: Duration = Duration::from_secs(4);
@@ -70,6 +73,52 @@
     assert_eq!(doubled, 0, "writes that ran more than once");
 }
 
+/// Makes the replicas apply what they receive a minute late.
+async fn delay_replicas(fleet: &Fleet) {
+    let login = Login {
+        user: FAULT_USER.to_owned(),
+        password: None,
+        database: "chervildrift".to_owned(),
+    };
+    let sql = "SELECT chervildrift_fault('apply_lag_ms', 60000)".to_owned();
+    let statement = Statement {
+        sql,
+        params: Vec::new(),
+    };
+    for address in &fleet.upstreams[1..] {
+        let connection = Connection::open(*address, &login).await.expect("connects");
+        connection.run(&statement).await.expect("sets the fault");
+    }
+}
+
+/// Guards against a read through another process that misses the session's own write, with and
+/// without lagging replicas.
+#[tokio::test]
+async fn own_writes_apart() {
+    let fleet = Fleet::spawn("own-writes-apart", &ZONES).await;
+    create_table(&fleet).await;
+    let mut session = Session::open(CREDENTIAL);
+    for count in 1..=6 {
+        if count == 4 {
+            delay_replicas(&fleet).await;
+        }
+        let sql = "insert into note values ($1)";
+        let writer = fleet.vms[count % 3].callers;
+        let written = session.run(writer, "save", sql, json!([count])).await;
+        assert_eq!(written.status, 200, "{:?}", written.body);
+        let reader = fleet.vms[(count + 1) % 3].callers;
+        let read = session
+            .run(reader, "list", "select count(*) from note", json!([]))
+            .await;
+        assert_eq!(
+            read.body["results"][0]["rows"][0][0],
+            json!(count),
+            "{:?}",
+            read.body
+        );
+    }
+}
+
 /// Guards against a fleet that loses or doubles a confirmed write, or stays without service, when
 /// the process of the primary is killed.
 #[tokio::test]
