Let a frozen dispatcher go on in its test

Cause: the test of a frozen dispatcher ended while the VM was still frozen, so nothing showed what it does with the work it had in hand. Ruled out: a failure; none was seen. Change: the VM goes on, writes follow through all VMs, and both sets of confirmed writes are checked again. Conclusion: the resumed VM neither lost nor doubled a confirmed write.

--- a/chervildrift/tests/separate_processes.rs
+++ b/chervildrift/tests/separate_processes.rs
@@ -153,6 +153,14 @@
         let ((confirmed, gap), ()) = tokio::join!(write(&fleet, &[1, 2], 0, end), strike);
         assert!(gap < DISPATCHER_LIMIT, "{signal}: gap of {gap:?}");
         check_once(&fleet, 1, &confirmed).await;
+        if signal == "STOP" {
+            // What the frozen VM had in hand must not run a second time when it goes on.
+            fleet.vms[0].process.signal("CONT");
+            let more = Instant::now() + Duration::from_secs(1);
+            let (later, _) = write(&fleet, &[0, 1, 2], 1_000_000, more).await;
+            check_once(&fleet, 1, &confirmed).await;
+            check_once(&fleet, 2, &later).await;
+        }
     }
 }
 
