Read the wall clock in one place, and hash bundles by one type

Cause: reading the whole change showed the same four lines for the wall clock in four modules, and a hash of bundles beside BundleHash::of that only a test called. Ruled out: joining the sources of random seeds of `try` and `publish`; they use nanoseconds and mix them differently. Change: wall::clock_ms serves start, burn, records and membership messages; Bundle::hash is gone, and its test compares BundleHash::of with the same assertion. No behaviour changes.

--- a/chervildrift/src/gossip/handle.rs
+++ b/chervildrift/src/gossip/handle.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use chervildrift_core::membership::Message;
 use tokio::net::UdpSocket;
@@ -17,6 +17,7 @@
 use super::replay::Replays;
 use super::seal::{PAYLOAD_BYTES, Seal, Stamp};
 use super::{Datagram, Error, Fault, Options};
+use crate::wall;
 
 /// Pause after a failed receive.
 const RECEIVE_PAUSE: Duration = Duration::from_millis(10);
@@ -62,7 +63,7 @@
             sender: socket.try_clone()?,
             seal: Seal::open(&options.key)?,
             counts: Counts::default(),
-            epoch: wall_clock_ms(),
+            epoch: wall::clock_ms(),
             number: AtomicU64::new(0),
         });
         let address = socket.local_addr()?;
@@ -140,8 +141,3 @@
         Err(_) => shared.counts.overrun.raise(),
     }
 }
-
-fn wall_clock_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
--- a/chervildrift/src/lib.rs
+++ b/chervildrift/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod serve;
 pub mod try_out;
 pub mod upstream;
+pub mod wall;
 pub mod work;
--- a/chervildrift/src/serve/burn.rs
+++ b/chervildrift/src/serve/burn.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::sync::PoisonError;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use chervildrift_core::burn::{
     self, Ack, Action, Actions, Batch, Event, Objective, Series, Snapshot,
@@ -15,6 +15,7 @@
 use super::node::Node;
 use super::{BurnReport, Input};
 use crate::platform::{Condition, Platform, Written};
+use crate::wall;
 
 /// Table of the snapshots.
 const TABLE: &str = "burn";
@@ -215,7 +216,7 @@
         self.io.spawn(async move {
             let event = match platform.read::<Stored>(TABLE, service.as_str()).await {
                 Ok(Some(row)) => {
-                    let age = wall_clock_ms().saturating_sub(row.value.at_ms);
+                    let age = wall::clock_ms().saturating_sub(row.value.at_ms);
                     let age = Duration::from_millis(age);
                     let tag = row.tag.to_string();
                     Event::Loaded {
@@ -244,7 +245,7 @@
     let service = snapshot.service.clone();
     let condition = tag.map_or(Condition::Absent, |tag| Condition::Unchanged(tag.into()));
     let stored = Stored {
-        at_ms: wall_clock_ms(),
+        at_ms: wall::clock_ms(),
         snapshot,
     };
     match platform
@@ -264,10 +265,3 @@
 fn share(percent: f64) -> f64 {
     (percent * 1e6).round() / 1e8
 }
-
-fn wall_clock_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use std::{io, thread};
 
 use chervildrift_core::burn::{self, Burn};
@@ -33,6 +33,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{self, FleetKey};
 use crate::platform::Platform;
+use crate::wall;
 
 /// Threads for the sockets of upstreams, platform and membership.
 const IO_THREADS: usize = 2;
@@ -142,7 +143,7 @@
         replaced: AtomicBool::new(false),
         burn: Mutex::default(),
     });
-    let boot = wall_clock_ms();
+    let boot = wall::clock_ms();
     let seed = mix(boot ^ placement::digest(settings.vm.as_str()));
     let key = FleetKey::open(&hex::decode(&settings.keys.fleet_hex)?)?;
     let peers = bind_peers(&settings, &key, &io, &inputs)?;
@@ -379,10 +380,3 @@
         }
     }
 }
-
-fn wall_clock_ms() -> u64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/chervildrift/src/upstream/write.rs
+++ b/chervildrift/src/upstream/write.rs
@@ -1,7 +1,5 @@
 //! Writes at a primary, each with an idempotency record in the same transaction.
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use chervildrift_core::types::{Mark, Role, Status};
 use futures::future::{join_all, join3};
 use serde_json::Value;
@@ -10,6 +8,7 @@
 
 use super::read::pipeline;
 use super::{Connection, Error, Lease, Statement, sql};
+use crate::wall;
 
 /// Key and digest under which a request is recorded.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -179,7 +178,7 @@
 
 /// Inserts the record; false when the key is there already.
 async fn insert_record(lease: &Connection, record: &Record, state: &str) -> Result<bool, Error> {
-    let made_ms = wall_clock_ms();
+    let made_ms = i64::try_from(wall::clock_ms()).unwrap_or(i64::MAX);
     let params: [(&(dyn tokio_postgres::types::ToSql + Sync), Type); 4] = [
         (&record.key, Type::TEXT),
         (&record.digest, Type::TEXT),
@@ -247,10 +246,3 @@
     }
     acknowledgeable(opened, status, answer, false)
 }
-
-fn wall_clock_ms() -> i64 {
-    let since = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default();
-    i64::try_from(since.as_millis()).unwrap_or(i64::MAX)
-}
--- a/chervildrift_core/src/config/bundle.rs
+++ b/chervildrift_core/src/config/bundle.rs
@@ -1,7 +1,6 @@
 //! All published declarations in their canonical form.
 
 use serde::{Deserialize, Serialize};
-use sha2::{Digest, Sha256};
 
 use super::{Declaration, Error};
 
@@ -36,12 +35,6 @@
         Ok(serde_json::to_vec(self)?)
     }
 
-    /// Returns the SHA-256 of a canonical form in lower-case hexadecimal.
-    #[must_use]
-    pub fn hash(body: &[u8]) -> String {
-        hex::encode(Sha256::digest(body))
-    }
-
     /// Returns the declarations, ordered by service.
     #[must_use]
     pub fn declarations(&self) -> &[Declaration] {
--- a/chervildrift_core/tests/operator_files.rs
+++ b/chervildrift_core/tests/operator_files.rs
@@ -1,6 +1,7 @@
 //! Operator files: what is accepted, what is refused, and where the mistake is.
 
 use chervildrift_core::config::{Bundle, Error, check};
+use chervildrift_core::generation::BundleHash;
 
 const FEDERATION: &str = include_str!("../../examples/ring-ledger.yaml");
 const BARNIZADOS: &str = include_str!("../../examples/polish-core.yaml");
@@ -58,8 +59,8 @@
     let two = Bundle::collect([second, first.clone()]).expect("distinct services");
     let body = one.encode().expect("encodes");
     assert_eq!(
-        Bundle::hash(&body),
-        Bundle::hash(&two.encode().expect("encodes"))
+        BundleHash::of(&body),
+        BundleHash::of(&two.encode().expect("encodes"))
     );
     assert_eq!(Bundle::decode(&body).expect("decodes"), one);
     let twice = Bundle::collect([first.clone(), first]);
