--- a/chervildrift/src/cli/error.rs
+++ b/chervildrift/src/cli/error.rs
@@ -23,6 +23,12 @@
             source(err)
             from()
         }
+        /// The relaying VM could not start.
+        Relay(err: crate::relay::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
         /// The operators' files could not be collected.
         Declare(err: crate::declare::Error) {
             display("{}", err)
--- a/chervildrift/src/cli/mod.rs
+++ b/chervildrift/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod error;
+mod relay;
 mod serve;
 mod stand_in;
 
@@ -12,6 +13,7 @@
 use clap::{Args, Parser, Subcommand};
 
 pub use self::error::Error;
+pub(crate) use self::relay::read as read_relay;
 
 /// Exit code of a command that found a mistake or could not do its work.
 const FAILURE: u8 = 2;
@@ -37,6 +39,12 @@
         #[arg(long)]
         record: Option<PathBuf>,
     },
+    /// Runs one VM that relays callers' sessions on the platform.
+    Relay {
+        /// Settings file.
+        #[arg(long)]
+        config: PathBuf,
+    },
     /// Checks operators' files and settings files; changes nothing.
     Check(check::Options),
     /// Publishes operators' files as one configuration.
@@ -107,6 +115,7 @@
     match command {
         Command::Try(options) => crate::try_out::run(&options)?,
         Command::Serve { config, record } => return serve::run(&config, record.as_deref()),
+        Command::Relay { config } => return relay::run(&config),
         Command::Check(options) => return Ok(check::run(&options)?),
         Command::Publish(options) => return Ok(crate::publish::run(&options)?),
         Command::Report(Report::Burn(options)) => crate::report::run(&options)?,
--- /dev/null
+++ b/chervildrift/src/cli/relay.rs
@@ -0,0 +1,30 @@
+//! `relay`: one VM that relays callers' sessions, as a process.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use chervildrift_core::config::{RelaySettings, check_relay};
+
+use super::Error;
+use crate::{logs, relay};
+
+/// Runs a relaying VM until it is told to stop.
+pub(super) fn run(config: &Path) -> Result<ExitCode, Error> {
+    let settings = read(config)?;
+    let log = logs::open(settings.log, settings.vm.as_str());
+    let graceful = relay::run(settings, config, log)?;
+    Ok(if graceful {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+/// Reads the settings file of a relaying VM.
+pub(crate) fn read(path: &Path) -> Result<RelaySettings, Error> {
+    let text = std::fs::read_to_string(path).map_err(|err| Error::File(path.to_owned(), err))?;
+    check_relay(&text).map_err(|mut findings| {
+        // A settings file that can't be parsed has exactly one finding.
+        Error::Settings(path.to_owned(), findings.remove(0))
+    })
+}
--- a/chervildrift/src/lib.rs
+++ b/chervildrift/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod peer;
 pub mod platform;
 pub mod publish;
+pub mod relay;
 pub mod replay;
 pub mod report;
 pub mod serve;
--- a/chervildrift/src/logs/mod.rs
+++ b/chervildrift/src/logs/mod.rs
@@ -21,7 +21,7 @@
 }
 
 fn json() -> slog_async::Async {
-    let drain = slog_json::Json::default(std::io::stderr());
+    let drain = slog_json::Json::default(std::io::stdout());
     slog_async::Async::new(drain.fuse()).build()
 }
 
--- /dev/null
+++ b/chervildrift/src/relay/answer.rs
@@ -0,0 +1,63 @@
+//! Answers to callers' statements.
+
+use chervildrift_core::relay::Code;
+use chervildrift_platform::wire;
+
+/// Answer to a statement.
+#[derive(Clone, Debug)]
+pub(super) enum Answer {
+    /// The statement succeeded at an upstream.
+    Upstream {
+        /// Rows as the upstream sent them.
+        rows: Vec<String>,
+        /// The upstream's signature.
+        signature: String,
+    },
+    /// The VM itself took the statement.
+    Taken,
+    /// The statement failed.
+    Failed(Failure),
+}
+
+/// Why a statement failed.
+#[derive(Clone, Debug)]
+pub(super) struct Failure {
+    /// Code for the caller.
+    pub code: Code,
+    /// Explanation for the caller and the log.
+    pub detail: String,
+}
+
+impl Failure {
+    /// Builds a failure.
+    pub(super) fn new(code: Code, detail: impl Into<String>) -> Self {
+        Self {
+            code,
+            detail: detail.into(),
+        }
+    }
+}
+
+impl Answer {
+    /// Builds a failed answer.
+    pub(super) fn failed(code: Code, detail: impl Into<String>) -> Self {
+        Self::Failed(Failure::new(code, detail))
+    }
+
+    /// Writes the answer for the caller.
+    pub(super) fn encode(&self, out: &mut String) {
+        match self {
+            Self::Upstream { rows, signature } => {
+                wire::encode_success(rows, Some(signature), out);
+            }
+            Self::Taken => wire::encode_success(&[], None, out),
+            Self::Failed(failure) => wire::encode_error(failure.code, &failure.detail, out),
+        }
+    }
+}
+
+impl From<Failure> for Answer {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(failure)
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/error.rs
@@ -0,0 +1,34 @@
+//! Errors of a relaying VM.
+
+use quick_error::quick_error;
+
+quick_error! {
+    /// Why the VM could not start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A socket, signal or runtime failed.
+        Io(err: std::io::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The operators' listener could not be opened.
+        Listen(err: crate::http::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The client of the platform's store could not be set up.
+        Store(err: chervildrift_platform::store::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+        /// The client for promotions could not be set up.
+        Promotion(err: chervildrift_platform::promotion::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/failover.rs
@@ -0,0 +1,253 @@
+//! Replacement of a leader that is dead or leaves.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Case, Claim, Session, Stance, Vote, furthest, stance};
+use chervildrift_core::types::{Mark, Role, Service, Time, Upstream};
+use chervildrift_platform::promotion::{Error as OrderError, Promotions};
+use chervildrift_platform::store::{Error, Listing, Transaction, Written};
+use chervildrift_platform::wire::{Command, parse_status};
+use futures::future::join_all;
+use serde::de::DeserializeOwned;
+use slog::{info, warn};
+use tokio::time::{sleep, timeout};
+
+use super::clock;
+use super::keeper::demand;
+use super::node::Node;
+use super::presence::{TABLE, live_vms, row};
+
+/// Interval at which the votes are counted.
+const POLL: Duration = Duration::from_millis(150);
+
+/// Interval at which a vote is renewed.
+const VOTE_RENEWAL: Duration = Duration::from_secs(1);
+
+/// Tries of a write or an order whose answers are lost.
+const TRIES: u32 = 6;
+
+/// Pause between such tries.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Time for an upstream to tell what it has received.
+const STATUS_LIMIT: Duration = Duration::from_millis(500);
+
+/// One replacement of a leader.
+struct Replacement<'a> {
+    node: &'a Rc<Node>,
+    service: &'a Service,
+    leader: &'a Upstream,
+    planned: bool,
+    started: Time,
+    voted: Option<Time>,
+}
+
+/// What the store holds on a service.
+struct Records {
+    listing: Listing,
+    votes: Vec<Vote>,
+    claim: Option<(Claim, u64)>,
+}
+
+/// Replaces a leader, or returns once there is no more reason to.
+pub(super) async fn run(node: &Rc<Node>, service: &Service, leader: &Upstream, planned: bool) {
+    let Some(promotions) = node.promotions.clone() else {
+        return;
+    };
+    let mut replacement = Replacement {
+        node,
+        service,
+        leader,
+        planned,
+        started: clock::now(),
+        voted: None,
+    };
+    info!(node.log, "leader to be replaced"; "event" => "failover", "service" => %service,
+        "leader" => %leader, "planned" => planned);
+    while replacement.is_due() {
+        match replacement.step(&promotions).await {
+            Ok(pause) => sleep(pause).await,
+            Err(err) => {
+                warn!(node.log, "failover waits for the store"; "event" => "failover",
+                    "service" => %service, "error" => %err);
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+impl Replacement<'_> {
+    fn is_due(&self) -> bool {
+        let now = clock::now();
+        let (current, suspected) = self.node.with_group(self.service, |group| {
+            (group.leader() == Some(self.leader), group.suspects(now))
+        });
+        let directory = self.node.directory.borrow();
+        let entry = directory.get(self.leader);
+        let draining = entry.is_some_and(|entry| entry.draining);
+        current && (suspected || (self.planned && draining))
+    }
+
+    /// Takes one step and returns the pause before the next one.
+    async fn step(&mut self, promotions: &Promotions) -> Result<Duration, Error> {
+        let listing = self.node.store.list(TABLE).await?;
+        let records = self.records(listing);
+        if !self.planned {
+            self.vote(records.listing.now_ms).await?;
+        }
+        let live = live_vms(&records.listing);
+        let case = Case {
+            leader: self.leader,
+            planned: self.planned,
+            live: &live,
+            votes: &records.votes,
+            claim: records.claim.as_ref().map(|(claim, _)| claim),
+            store_ms: records.listing.now_ms,
+            waited: clock::now().since(self.started),
+            spread: chervildrift_core::placement::digest(self.service.as_str()),
+        };
+        match stance(&self.node.settings.vm, &case) {
+            Stance::Wait => Ok(POLL),
+            Stance::Later(pause) => Ok(pause.min(POLL)),
+            Stance::Claim(token) => {
+                let version = records.claim.map_or(0, |(_, version)| version);
+                if self.claim(token, version, records.listing.now_ms).await? {
+                    self.promote(promotions, token).await;
+                }
+                Ok(POLL)
+            }
+        }
+    }
+
+    fn records(&self, listing: Listing) -> Records {
+        let prefix = format!("vote/{}/", self.service);
+        let votes = listing
+            .rows
+            .iter()
+            .filter(|row| row.key.starts_with(&prefix));
+        let votes = votes
+            .filter_map(|row| decode(row.value.as_deref()))
+            .collect();
+        let key = self.claim_key();
+        let claim = listing.rows.iter().find(|row| row.key == key);
+        let claim = claim.and_then(|row| Some((decode(row.value.as_deref())?, row.version)));
+        Records {
+            listing,
+            votes,
+            claim,
+        }
+    }
+
+    fn claim_key(&self) -> String {
+        format!("claim/{}", self.service)
+    }
+
+    async fn vote(&mut self, store_ms: u64) -> Result<(), Error> {
+        let now = clock::now();
+        if self.voted.is_some_and(|at| now.since(at) < VOTE_RENEWAL) {
+            return Ok(());
+        }
+        let vm = &self.node.settings.vm;
+        let key = format!("vote/{}/{vm}", self.service);
+        let vote = Vote {
+            vm: vm.clone(),
+            leader: self.leader.clone(),
+            at: store_ms,
+        };
+        let value = serde_json::to_vec(&vote).unwrap_or_default();
+        let write = Transaction::default().put(row(&key), value);
+        self.node.store.write(&write).await?;
+        self.voted = Some(now);
+        Ok(())
+    }
+
+    /// Raises the fencing token; false if another VM was first.
+    async fn claim(&self, token: u64, version: u64, store_ms: u64) -> Result<bool, Error> {
+        let key = self.claim_key();
+        let claim = Claim {
+            vm: self.node.settings.vm.clone(),
+            boot: self.node.boot,
+            token,
+            replaces: self.leader.clone(),
+            at: store_ms,
+        };
+        let value = serde_json::to_vec(&claim).unwrap_or_default();
+        let write = Transaction::default()
+            .require(row(&key), version)
+            .put(row(&key), value);
+        let mut last = Error::NoAnswer;
+        for _ in 0..TRIES {
+            match self.node.store.write(&write).await {
+                Ok(Written::Done(_)) => return Ok(true),
+                Ok(Written::Conflict(listing)) => {
+                    // An earlier try may have taken effect without an answer.
+                    let held = listing.rows.iter().find(|row| row.key == key);
+                    let held: Option<Claim> = held.and_then(|row| decode(row.value.as_deref()));
+                    return Ok(held.is_some_and(|held| held == claim));
+                }
+                Err(err) => last = err,
+            }
+            sleep(PAUSE).await;
+        }
+        Err(last)
+    }
+
+    async fn promote(&self, promotions: &Promotions, token: u64) {
+        let Some(target) = self.choose().await else {
+            warn!(self.node.log, "no upstream to promote"; "event" => "failover",
+                "service" => %self.service, "token" => token);
+            return;
+        };
+        for attempt in 0..TRIES {
+            let vm = &self.node.settings.vm;
+            let order = promotions.promote(self.service, &target, vm, token).await;
+            info!(self.node.log, "promotion ordered"; "event" => "failover",
+                "service" => %self.service, "upstream" => %target, "token" => token,
+                "replaces" => %self.leader, "attempt" => attempt,
+                "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
+            match order {
+                Ok(()) | Err(OrderError::Conflict | OrderError::Rejected(_)) => return,
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+
+    /// Chooses the replica that has received most of the log.
+    async fn choose(&self) -> Option<Upstream> {
+        let replicas: Vec<Upstream> = {
+            let directory = self.node.directory.borrow();
+            let entries = directory.of(self.service);
+            let usable = entries.filter(|it| {
+                it.upstream != *self.leader && !it.draining && it.role == Role::Replica
+            });
+            usable.map(|it| it.upstream.clone()).collect()
+        };
+        let asked = replicas.iter().map(|it| self.received(it));
+        let received: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
+        info!(self.node.log, "logs compared"; "event" => "failover", "service" => %self.service,
+            "received" => received.iter().map(|(it, mark)| format!("{it}={mark}"))
+                .collect::<Vec<_>>().join(" "));
+        furthest(&received).cloned()
+    }
+
+    async fn received(&self, upstream: &Upstream) -> Option<(Upstream, Mark)> {
+        let mark = timeout(STATUS_LIMIT, self.ask_received(upstream)).await;
+        Some((upstream.clone(), mark.ok()??))
+    }
+
+    async fn ask_received(&self, upstream: &Upstream) -> Option<Mark> {
+        let mut lease = self.node.pool(upstream)?.acquire(demand()).await.ok()?;
+        let link = lease.link(&Session::default(), None).await.ok()?;
+        let replies = link.run(&[Command::Status], STATUS_LIMIT).await.ok()?;
+        let reply = replies.first()?;
+        let status = reply.rows.first().and_then(|it| parse_status(it).ok());
+        // A busy upstream tells at least what it has applied.
+        status.and_then(|status| status.received).or(reply.mark)
+    }
+}
+
+/// Reads a record; one that can't be read counts as absent.
+fn decode<T: DeserializeOwned>(value: Option<&[u8]>) -> Option<T> {
+    serde_json::from_slice(value?).ok()
+}
--- /dev/null
+++ b/chervildrift/src/relay/listener.rs
@@ -0,0 +1,29 @@
+//! Listener for callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use slog::warn;
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use super::node::Node;
+use super::session;
+
+/// Pause after a failed accept, such as for lack of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts callers until the process ends.
+pub(super) async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(session::serve(Rc::clone(&node), stream));
+            }
+            Err(err) => {
+                warn!(node.log, "accept failed"; "event" => "accept", "error" => %err);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/mod.rs
@@ -0,0 +1,25 @@
+//! A VM that relays callers' sessions to the upstreams of the platform.
+//!
+//! One thread owns all state. Each caller has a task that reads its statements and runs them on
+//! connections that all sessions share; further tasks follow the platform's store, sample the
+//! leaders' logs and replace leaders that are dead or leave.
+
+mod answer;
+mod clock;
+mod error;
+mod failover;
+mod keeper;
+mod link;
+mod listener;
+mod node;
+mod pool;
+mod presence;
+mod session;
+mod single;
+mod start;
+mod stop;
+mod transaction;
+mod watch;
+
+pub use self::error::Error;
+pub use self::start::run;
--- /dev/null
+++ b/chervildrift/src/relay/node.rs
@@ -0,0 +1,218 @@
+//! State of the VM, shared by its tasks on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use chervildrift_core::config::RelaySettings;
+use chervildrift_core::relay::{
+    Code, Directory, Entry, Group, RouteTable, Routes, links_each, policy,
+};
+use chervildrift_core::types::{Service, Upstream, Zone};
+use chervildrift_platform::promotion::Promotions;
+use chervildrift_platform::store::Store;
+use slog::{Logger, info};
+use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
+
+use super::answer::Failure;
+use super::clock;
+use super::pool::Pool;
+use super::stop::Stage;
+
+/// Assumed time of a message there and back within a region, until a connection was made.
+const NEAR: Duration = Duration::from_millis(2);
+
+/// Assumed time of a message there and back between regions, until a connection was made.
+const FAR: Duration = Duration::from_millis(50);
+
+/// Connections to one upstream while the configuration names no limit.
+const DEFAULT_CONNECTIONS: usize = 8;
+
+/// State of the VM.
+#[derive(Debug)]
+pub(super) struct Node {
+    pub settings: RelaySettings,
+    /// Start of the process, in milliseconds of the Unix epoch.
+    pub boot: u64,
+    pub log: Logger,
+    pub store: Store,
+    pub promotions: Option<Promotions>,
+    pub directory: RefCell<Directory>,
+    pub routes: RefCell<RouteTable>,
+    pub groups: RefCell<HashMap<Service, Group>>,
+    pub pools: RefCell<HashMap<Upstream, Rc<Pool>>>,
+    /// VMs that share the connections, this one included.
+    pub vms: Cell<usize>,
+    /// Sessions that are open.
+    pub sessions: Cell<usize>,
+    /// Wakes those who wait for a leader.
+    pub changed: Notify,
+    pub stage: watch::Sender<Stage>,
+    pub listed: Cell<bool>,
+    pub ready: Arc<AtomicBool>,
+}
+
+impl Node {
+    /// Takes in a version of the routes.
+    pub(super) fn take_routes(&self, routes: Routes) {
+        let version = routes.version;
+        let count = routes.routes.len();
+        if !self.routes.borrow_mut().apply(routes) {
+            return;
+        }
+        info!(self.log, "configuration applied"; "event" => "routes", "version" => version,
+            "routes" => count);
+        self.share_links();
+        self.update_ready();
+    }
+
+    /// Takes in a new or changed entry of an upstream.
+    pub(super) fn take_entry(&self, entry: Entry) {
+        let policy = self.policy(&entry.service);
+        let known = self.pools.borrow().get(&entry.upstream).cloned();
+        let old = self.directory.borrow().get(&entry.upstream).cloned();
+        if let Some(pool) = known {
+            pool.update(&entry);
+        } else {
+            let pool = Pool::open(entry.clone(), &policy);
+            self.pools.borrow_mut().insert(entry.upstream.clone(), pool);
+        }
+        let changed =
+            old.is_none_or(|old| old.role != entry.role || old.draining != entry.draining);
+        if changed {
+            info!(self.log, "upstream changed"; "event" => "upstream",
+                "upstream" => %entry.upstream, "service" => %entry.service, "role" => %entry.role,
+                "draining" => entry.draining, "version" => entry.version);
+        }
+        let service = entry.service.clone();
+        self.directory.borrow_mut().put(entry);
+        self.follow_reports(&service);
+    }
+
+    /// Forgets upstreams.
+    pub(super) fn forget(&self, gone: &[Upstream]) {
+        for upstream in gone {
+            info!(self.log, "upstream gone"; "event" => "upstream", "upstream" => %upstream);
+            if let Some(pool) = self.pools.borrow_mut().remove(upstream) {
+                pool.retire();
+            }
+            for group in self.groups.borrow_mut().values_mut() {
+                group.drop_leader(upstream);
+            }
+        }
+    }
+
+    /// Takes the upstream that reports itself as primary for the leader, unless it has refused.
+    pub(super) fn follow_reports(&self, service: &Service) {
+        let directory = self.directory.borrow();
+        let Some(entry) = directory.reported_primary(service) else {
+            return;
+        };
+        let mut groups = self.groups.borrow_mut();
+        let group = groups.entry(service.clone()).or_default();
+        let newer = group
+            .leader()
+            .and_then(|leader| directory.get(leader))
+            .is_none_or(|leader| entry.version > leader.version);
+        if newer && !group.has_refused(&entry.upstream, entry.version) {
+            self.set_leader(group, service, &entry.upstream, "reported");
+        }
+    }
+
+    /// Takes an upstream for the leader.
+    pub(super) fn set_leader(
+        &self,
+        group: &mut Group,
+        service: &Service,
+        upstream: &Upstream,
+        reason: &'static str,
+    ) {
+        if group.lead(clock::now(), upstream) {
+            info!(self.log, "leader"; "event" => "leader", "service" => %service,
+                "upstream" => %upstream, "reason" => reason, "epoch" => group.epoch());
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Notes that an upstream refused to lead.
+    pub(super) fn refused_lead(&self, service: &Service, upstream: &Upstream) {
+        let entry = self.directory.borrow().get(upstream).cloned();
+        let version = entry.map_or(0, |entry| entry.version);
+        if let Some(group) = self.groups.borrow_mut().get_mut(service) {
+            if group.leader() == Some(upstream) {
+                info!(self.log, "leader lost"; "event" => "leader", "service" => %service,
+                    "upstream" => %upstream, "reason" => "refused");
+            }
+            group.refuse(upstream, version);
+        }
+        self.follow_reports(service);
+    }
+
+    /// Runs a function on a group.
+    pub(super) fn with_group<T>(&self, service: &Service, run: impl FnOnce(&mut Group) -> T) -> T {
+        run(self.groups.borrow_mut().entry(service.clone()).or_default())
+    }
+
+    /// Returns the leader of a service, or waits for one for a while.
+    pub(super) async fn leader(
+        &self,
+        service: &Service,
+        limit: Duration,
+    ) -> Result<Upstream, Failure> {
+        let find = async {
+            loop {
+                let changed = self.changed.notified();
+                let leader = self.with_group(service, |group| group.leader().cloned());
+                if let Some(leader) = leader {
+                    return leader;
+                }
+                changed.await;
+            }
+        };
+        let found = timeout(limit, find).await;
+        found.map_err(|_| Failure::new(Code::Busy, "no primary is known"))
+    }
+
+    /// Returns the pool of an upstream.
+    pub(super) fn pool(&self, upstream: &Upstream) -> Option<Rc<Pool>> {
+        self.pools.borrow().get(upstream).cloned()
+    }
+
+    /// Returns the time of a message to an upstream and back.
+    pub(super) fn distance(&self, pool: &Pool, zone: &Zone) -> Duration {
+        let same = || {
+            let regions = &self.settings.regions;
+            *zone == self.settings.zone || regions.get(zone) == regions.get(&self.settings.zone)
+        };
+        pool.distance()
+            .unwrap_or_else(|| if same() { NEAR } else { FAR })
+    }
+
+    /// Shares out the connections of all upstreams anew.
+    pub(super) fn share_links(&self) {
+        let entries: Vec<Entry> = self.directory.borrow().iter().cloned().collect();
+        for entry in entries {
+            let policy = self.policy(&entry.service);
+            if let Some(pool) = self.pool(&entry.upstream) {
+                pool.apply(&policy);
+            }
+        }
+    }
+
+    fn policy(&self, service: &Service) -> chervildrift_core::dispatch::Policy {
+        let routes = self.routes.borrow();
+        let limit = routes.connections(service).unwrap_or(DEFAULT_CONNECTIONS);
+        policy(&routes, service, links_each(limit, self.vms.get()))
+    }
+
+    /// Sets whether the balancer may send callers here.
+    pub(super) fn update_ready(&self) {
+        let configured = self.routes.borrow().version() > 0 && self.listed.get();
+        let ready = configured && *self.stage.borrow() == Stage::Serving;
+        self.ready.store(ready, Ordering::Release);
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/pool.rs
@@ -0,0 +1,225 @@
+//! Shared connections to one upstream.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::dispatch::{Finish, Job, JobId, Policy, Refusal, Scheduler};
+use chervildrift_core::relay::{Entry, Session, Shape};
+use chervildrift_core::types::{Caller, Kind, Rank, Time};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::clock;
+use super::link::{Link, LinkError};
+
+/// Shared connections to one upstream.
+#[derive(Debug)]
+pub(super) struct Pool {
+    entry: RefCell<Entry>,
+    scheduler: RefCell<Scheduler>,
+    waiting: RefCell<HashMap<JobId, oneshot::Sender<Lease>>>,
+    idle: RefCell<Vec<Link>>,
+    /// Greatest number of connections.
+    links: Cell<usize>,
+    next: Cell<u64>,
+    /// Time of a message there and back, once a connection was made.
+    distance: Cell<Option<Duration>>,
+    /// When the upstream last lacked a position.
+    pub lagged: Cell<Option<Time>>,
+    /// When the upstream last gave no answer.
+    pub failed: Cell<Option<Time>>,
+    /// Set once the upstream has gone.
+    retired: Cell<bool>,
+}
+
+/// What a statement needs in order to get a connection.
+#[derive(Clone, Debug)]
+pub(super) struct Demand {
+    /// Kind of work.
+    pub kind: Kind,
+    /// Caller whose turn it is.
+    pub caller: Caller,
+    /// Time by which the statement must have finished.
+    pub deadline: Time,
+}
+
+/// The right to use one connection, which goes back to the pool when dropped.
+#[derive(Debug)]
+pub(super) struct Lease {
+    pool: Rc<Pool>,
+    id: JobId,
+    link: Option<Link>,
+    /// How the work ended, which the estimates of service times follow.
+    pub finish: Finish,
+}
+
+impl Pool {
+    /// Opens a pool without connections.
+    pub(super) fn open(entry: Entry, policy: &Policy) -> Rc<Self> {
+        Rc::new(Self {
+            entry: RefCell::new(entry),
+            scheduler: RefCell::new(Scheduler::open(policy)),
+            waiting: RefCell::default(),
+            idle: RefCell::default(),
+            links: Cell::new(policy.slots),
+            next: Cell::new(0),
+            distance: Cell::new(None),
+            lagged: Cell::new(None),
+            failed: Cell::new(None),
+            retired: Cell::new(false),
+        })
+    }
+
+    /// Takes in a changed entry; connections to an earlier process are closed.
+    pub(super) fn update(&self, entry: &Entry) {
+        let moved = {
+            let old = self.entry.borrow();
+            old.address != entry.address || old.born != entry.born
+        };
+        if moved {
+            self.idle.borrow_mut().clear();
+        }
+        self.entry.replace(entry.clone());
+    }
+
+    /// Takes in changed rules.
+    pub(super) fn apply(self: &Rc<Self>, policy: &Policy) {
+        self.links.set(policy.slots);
+        self.idle.borrow_mut().truncate(policy.slots);
+        self.scheduler.borrow_mut().apply(clock::now(), policy);
+        self.pump();
+    }
+
+    /// Closes the pool's idle connections and all others as they come back.
+    pub(super) fn retire(&self) {
+        self.retired.set(true);
+        self.idle.borrow_mut().clear();
+    }
+
+    /// Closes idle connections that have not been used since.
+    pub(super) fn distrust(&self, since: Time) {
+        self.idle.borrow_mut().retain(|link| link.used >= since);
+    }
+
+    /// Returns the time of a message there and back.
+    pub(super) fn distance(&self) -> Option<Duration> {
+        self.distance.get()
+    }
+
+    /// Returns the estimated wait for a connection.
+    pub(super) fn wait(&self, rank: Rank) -> Duration {
+        self.scheduler.borrow().load().ranks[rank.index()].wait
+    }
+
+    /// Waits for the right to use a connection.
+    pub(super) async fn acquire(self: &Rc<Self>, demand: Demand) -> Result<Lease, Refusal> {
+        let now = clock::now();
+        let id = JobId(self.next.replace(self.next.get() + 1));
+        let (sender, receiver) = oneshot::channel();
+        let limit = demand.deadline.since(now);
+        let job = Job {
+            id,
+            kind: demand.kind,
+            caller: demand.caller,
+            deadline: demand.deadline,
+        };
+        self.scheduler.borrow_mut().submit(now, job)?;
+        self.waiting.borrow_mut().insert(id, sender);
+        self.pump();
+        if let Ok(Ok(lease)) = timeout(limit, receiver).await {
+            return Ok(lease);
+        }
+        self.waiting.borrow_mut().remove(&id);
+        self.scheduler.borrow_mut().cancel(id);
+        Err(Refusal::TooLate(clock::now().since(now), Duration::ZERO))
+    }
+
+    /// Hands free connections to those who wait for them.
+    fn pump(self: &Rc<Self>) {
+        loop {
+            let now = clock::now();
+            let (expired, next) = {
+                let mut scheduler = self.scheduler.borrow_mut();
+                (scheduler.expire(now), scheduler.next(now))
+            };
+            for id in expired {
+                self.waiting.borrow_mut().remove(&id);
+            }
+            let Some(id) = next else { return };
+            let lease = Lease {
+                pool: Rc::clone(self),
+                id,
+                link: None,
+                finish: Finish::Abandoned,
+            };
+            let sender = self.waiting.borrow_mut().remove(&id);
+            // A lease that nobody waits for any more frees its place as it is dropped.
+            let _unclaimed = sender.map(|sender| sender.send(lease));
+        }
+    }
+
+    fn take_back(self: &Rc<Self>, id: JobId, link: Option<Link>, finish: Finish) {
+        if let Some(link) = link.filter(Link::is_clean) {
+            let mut idle = self.idle.borrow_mut();
+            if !self.retired.get() && idle.len() < self.links.get() {
+                idle.push(link);
+            }
+        }
+        let now = clock::now();
+        self.scheduler.borrow_mut().finish(now, id, finish);
+        self.pump();
+    }
+
+    /// Takes the idle connection that is closest to what a session needs.
+    fn take_idle(&self, session: &Session, shape: Option<&Shape>) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let fit = |at: &usize| idle[*at].mismatch(session, shape);
+        // The last one used is taken among equals, so that the others can be closed when idle.
+        let best = (0..idle.len()).rev().min_by_key(fit)?;
+        Some(idle.swap_remove(best))
+    }
+}
+
+impl Lease {
+    /// Returns the connection, which is opened if no idle one is left.
+    pub(super) async fn link(
+        &mut self,
+        session: &Session,
+        shape: Option<&Shape>,
+    ) -> Result<&mut Link, LinkError> {
+        if self.link.is_none() {
+            self.link = self.pool.take_idle(session, shape);
+        }
+        let link = match self.link.take() {
+            Some(link) => link,
+            None => self.connect().await?,
+        };
+        Ok(self.link.insert(link))
+    }
+
+    async fn connect(&self) -> Result<Link, LinkError> {
+        let (address, service, upstream) = {
+            let entry = self.pool.entry.borrow();
+            (entry.address, entry.service.clone(), entry.upstream.clone())
+        };
+        let (link, took) = Link::open(address, &service, &upstream).await?;
+        let known = self.pool.distance.get();
+        self.pool
+            .distance
+            .set(Some(known.map_or(took, |known| known.min(took))));
+        Ok(link)
+    }
+
+    /// Returns the open connection.
+    pub(super) const fn open_link(&mut self) -> Option<&mut Link> {
+        self.link.as_mut()
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.pool.take_back(self.id, self.link.take(), self.finish);
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/presence.rs
@@ -0,0 +1,109 @@
+//! Record of this VM in the platform's store, and the count of the others.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Presence, live};
+use chervildrift_core::types::Vm;
+use chervildrift_platform::store::{Key, Listing, Transaction};
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use super::node::Node;
+
+/// Table of the VMs' own records.
+pub(super) const TABLE: &str = "chervildrift";
+
+/// Start of the keys of the VMs' records.
+const PREFIX: &str = "vm/";
+
+/// Interval at which the record is renewed and the others are counted.
+const RENEWAL: Duration = Duration::from_secs(8);
+
+/// Time after the first record until the others of a common start have written theirs.
+const SETTLE: Duration = Duration::from_millis(1_500);
+
+/// Pause after a failed call.
+const PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Keeps the record until the process ends.
+pub(super) async fn keep(node: Rc<Node>) {
+    let mut pause = SETTLE;
+    loop {
+        let done = renew(&node).await;
+        sleep(if done { pause } else { PAUSE }).await;
+        if done {
+            pause = RENEWAL;
+        }
+    }
+}
+
+/// Drops the record.
+pub(super) async fn withdraw(node: Rc<Node>) {
+    let key = key(&node.settings.vm);
+    let write = Transaction::default().drop_row(row(&key));
+    if let Err(err) = node.store.write(&write).await {
+        warn!(node.log, "record not withdrawn"; "event" => "presence", "error" => %err);
+    }
+}
+
+async fn renew(node: &Node) -> bool {
+    let renewal = async {
+        let listing = node.store.list(TABLE).await?;
+        let record = Presence {
+            vm: node.settings.vm.clone(),
+            at: listing.now_ms,
+        };
+        let key = key(&node.settings.vm);
+        let value = serde_json::to_vec(&record).unwrap_or_default();
+        let write = Transaction::default().put(row(&key), value);
+        node.store.write(&write).await?;
+        Ok::<_, chervildrift_platform::store::Error>(listing)
+    };
+    match renewal.await {
+        Ok(listing) => {
+            count(node, &listing);
+            true
+        }
+        Err(err) => {
+            warn!(node.log, "record not renewed"; "event" => "presence", "error" => %err);
+            false
+        }
+    }
+}
+
+fn count(node: &Node, listing: &Listing) {
+    let mut vms = live_vms(listing);
+    if !vms.contains(&node.settings.vm) {
+        vms.push(node.settings.vm.clone());
+    }
+    if node.vms.replace(vms.len()) != vms.len() {
+        info!(node.log, "fleet changed"; "event" => "presence", "vms" => vms.len());
+        node.share_links();
+    }
+}
+
+/// Returns the VMs that run by a listing of the table.
+pub(super) fn live_vms(listing: &Listing) -> Vec<Vm> {
+    let rows = listing
+        .rows
+        .iter()
+        .filter(|row| row.key.starts_with(PREFIX));
+    let records: Vec<Presence> = rows
+        .filter_map(|row| serde_json::from_slice(row.value.as_deref()?).ok())
+        .collect();
+    live(&records, listing.now_ms)
+}
+
+fn key(vm: &Vm) -> String {
+    format!("{PREFIX}{vm}")
+}
+
+/// Names a row of the VMs' own table.
+pub(super) const fn row(key: &str) -> Key<'_> {
+    Key {
+        table: TABLE,
+        part: "",
+        key,
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/session.rs
@@ -0,0 +1,333 @@
+//! One caller's connection.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Access, Code, Phase, Route, Session, Shape, Statement};
+use chervildrift_core::types::Caller;
+use chervildrift_platform::wire::{self, LINE_BYTES, Request};
+use futures::StreamExt;
+use slog::{debug, info};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::{Framed, LinesCodec, LinesCodecError};
+
+use super::answer::{Answer, Failure};
+use super::node::Node;
+use super::single::{self, Single};
+use super::stop::Stage;
+use super::transaction::Transaction;
+
+/// Time for a caller's first message.
+const START_LIMIT: Duration = Duration::from_secs(10);
+
+/// Idle time of a transaction after which it is ended if the configuration states none.
+const TRANSACTION_IDLE: Duration = Duration::from_secs(30);
+
+/// One caller's connection.
+struct Connection {
+    node: Rc<Node>,
+    lines: Framed<TcpStream, LinesCodec>,
+    database: Box<str>,
+    caller: Caller,
+    session: Session,
+    transaction: Option<Transaction>,
+}
+
+/// What happens next on a connection.
+enum Next {
+    Line(String),
+    TooLong,
+    Stop,
+    Idle,
+    End,
+}
+
+/// Serves a caller until either side ends the session.
+pub(super) async fn serve(node: Rc<Node>, stream: TcpStream) {
+    let number = node.sessions.get() + 1;
+    node.sessions.set(number);
+    if let Err(err) = stream.set_nodelay(true) {
+        debug!(node.log, "caller lost"; "event" => "session", "error" => %err);
+    }
+    let caller = stream.peer_addr().map(|it| it.to_string());
+    let mut connection = Connection {
+        node: Rc::clone(&node),
+        lines: Framed::new(stream, LinesCodec::new_with_max_length(LINE_BYTES)),
+        database: Box::default(),
+        caller: Caller::from(caller.unwrap_or_default()),
+        session: Session::default(),
+        transaction: None,
+    };
+    if let Err(err) = connection.run().await {
+        debug!(node.log, "caller lost"; "event" => "session", "error" => %err);
+    }
+    if let Some(transaction) = connection.transaction.take() {
+        transaction.roll_back();
+    }
+    node.sessions.set(node.sessions.get() - 1);
+}
+
+impl Connection {
+    async fn run(&mut self) -> std::io::Result<()> {
+        if !self.start().await? {
+            return Ok(());
+        }
+        loop {
+            match self.next().await {
+                Next::Line(line) => {
+                    if !self.take(&line).await? {
+                        return Ok(());
+                    }
+                }
+                Next::TooLong => {
+                    return self.close(Code::TooLarge, "message too long").await;
+                }
+                Next::Idle => self.end_idle(),
+                Next::Stop | Next::End => return Ok(()),
+            }
+        }
+    }
+
+    /// Opens the session; false if the connection is to be closed.
+    async fn start(&mut self) -> std::io::Result<bool> {
+        let line = match timeout(START_LIMIT, self.lines.next()).await {
+            Ok(Some(Ok(line))) => line,
+            Ok(Some(Err(_))) => {
+                self.close(Code::TooLarge, "message too long").await?;
+                return Ok(false);
+            }
+            Ok(None) | Err(_) => return Ok(false),
+        };
+        let Some(Request::Start { database }) = wire::parse(&line) else {
+            self.close(Code::Malformed, "a session starts first")
+                .await?;
+            return Ok(false);
+        };
+        self.database = database.into();
+        if self.route().is_none() {
+            let code = if self.node.routes.borrow().version() == 0 {
+                Code::Busy
+            } else {
+                Code::NoDatabase
+            };
+            info!(self.node.log, "session refused"; "event" => "session", "code" => %code,
+                "database" => &*self.database, "version" => self.node.routes.borrow().version());
+            self.close(code, "no route").await?;
+            return Ok(false);
+        }
+        self.send(None).await?;
+        Ok(true)
+    }
+
+    async fn next(&mut self) -> Next {
+        let idle = self.node.routes.borrow().idle().unwrap_or(TRANSACTION_IDLE);
+        let open = matches!(self.session.phase, Phase::Open(_));
+        let mut stage = self.node.stage.subscribe();
+        let closing = async {
+            // The node holds the sender for as long as the process runs.
+            let _closed = stage.wait_for(|stage| *stage >= Stage::Closing).await;
+        };
+        tokio::select! {
+            biased;
+            line = self.lines.next() => match line {
+                Some(Ok(line)) => Next::Line(line),
+                Some(Err(LinesCodecError::MaxLineLengthExceeded)) => Next::TooLong,
+                Some(Err(LinesCodecError::Io(_))) | None => Next::End,
+            },
+            () = closing, if self.session.phase == Phase::Idle => Next::Stop,
+            () = sleep(idle), if open => Next::Idle,
+        }
+    }
+
+    /// Takes a message; false if the session ends.
+    async fn take(&mut self, line: &str) -> std::io::Result<bool> {
+        let (id, text) = match wire::parse(line) {
+            Some(Request::Query { id, text }) => (id, text),
+            Some(Request::Terminate) => return Ok(false),
+            Some(Request::Start { .. }) | None => {
+                self.send(Some(&Answer::failed(Code::Malformed, "unknown message")))
+                    .await?;
+                return Ok(true);
+            }
+        };
+        let ending = *self.node.stage.borrow() >= Stage::Ending;
+        let answer = match wire::statement(text) {
+            None => Answer::failed(Code::Malformed, "unknown statement"),
+            Some(_) if ending && self.session.phase != Phase::Idle => self.abort("stopping"),
+            Some(statement) => self.answer(id, text, &statement).await,
+        };
+        if let Answer::Failed(failure) = &answer {
+            info!(self.node.log, "statement failed"; "event" => "failure", "request" => id,
+                "caller" => %self.caller, "database" => &*self.database, "code" => %failure.code,
+                "detail" => &failure.detail);
+        }
+        let gone = matches!(&answer, Answer::Failed(it) if it.code == Code::NoDatabase);
+        self.send(Some(&answer)).await?;
+        Ok(!gone)
+    }
+
+    async fn answer(&mut self, id: &str, text: &str, statement: &Statement<'_>) -> Answer {
+        if self.session.phase == Phase::Failed {
+            return self.answer_failed(statement);
+        }
+        match *statement {
+            Statement::Begin(access) => self.begin(access),
+            Statement::Commit => self.commit(id).await,
+            Statement::Rollback => self.roll_back(),
+            Statement::Set { name, value } => {
+                self.session.set(name, value);
+                Answer::Taken
+            }
+            Statement::Prepare {
+                name,
+                access,
+                shape,
+            } => {
+                self.session.prepare(name, Shape::new(access, shape));
+                Answer::Taken
+            }
+            Statement::Deallocate(name) => {
+                if self.session.deallocate(name) {
+                    Answer::Taken
+                } else {
+                    Answer::failed(Code::UnknownStatement, name)
+                }
+            }
+            Statement::Execute { name, arguments } => {
+                let Some(shape) = self.session.shape(name).cloned() else {
+                    return self.fail(Failure::new(Code::UnknownStatement, name));
+                };
+                let text = wire::execute(&shape.name, arguments);
+                self.execute(id, &text, shape.access, Some(&shape)).await
+            }
+            Statement::Plain(access) => self.execute(id, text, access, None).await,
+        }
+    }
+
+    /// Answers inside a failed transaction, whose end is all that is accepted.
+    fn answer_failed(&mut self, statement: &Statement<'_>) -> Answer {
+        match statement {
+            Statement::Rollback => {
+                self.session.phase = Phase::Idle;
+                Answer::Taken
+            }
+            Statement::Commit => {
+                self.session.phase = Phase::Idle;
+                Answer::failed(Code::Aborted, "the transaction has failed")
+            }
+            _ => Answer::failed(Code::Malformed, "the transaction has failed"),
+        }
+    }
+
+    fn begin(&mut self, access: Access) -> Answer {
+        if self.session.phase != Phase::Idle {
+            return Answer::failed(Code::Malformed, "a transaction is open");
+        }
+        let Some(route) = self.route() else {
+            return Answer::failed(Code::NoDatabase, "no route");
+        };
+        // The upstream's transaction begins with the first statement, so that no connection is
+        // held until then.
+        let node = Rc::clone(&self.node);
+        self.transaction = Some(Transaction::open(node, route, access, self.caller.clone()));
+        self.session.phase = Phase::Open(access);
+        Answer::Taken
+    }
+
+    async fn commit(&mut self, id: &str) -> Answer {
+        let Some(mut transaction) = self.transaction.take() else {
+            return Answer::failed(Code::Malformed, "no transaction is open");
+        };
+        self.session.phase = Phase::Idle;
+        match transaction.commit(&mut self.session, id).await {
+            Ok(answer) => answer,
+            Err(failure) => {
+                transaction.roll_back();
+                failure.into()
+            }
+        }
+    }
+
+    fn roll_back(&mut self) -> Answer {
+        let Some(transaction) = self.transaction.take() else {
+            return Answer::failed(Code::Malformed, "no transaction is open");
+        };
+        self.session.phase = Phase::Idle;
+        transaction.roll_back();
+        Answer::Taken
+    }
+
+    async fn execute(
+        &mut self,
+        id: &str,
+        text: &str,
+        access: Access,
+        shape: Option<&Shape>,
+    ) -> Answer {
+        if let Some(transaction) = self.transaction.as_mut() {
+            let ran = transaction
+                .run(&self.session, id, text, access, shape)
+                .await;
+            return ran.unwrap_or_else(|failure| self.fail(failure));
+        }
+        let Some(route) = self.route() else {
+            return Answer::failed(Code::NoDatabase, "no route");
+        };
+        let single = Single {
+            node: &self.node,
+            route: &route,
+            caller: &self.caller,
+            id,
+            text,
+            access,
+            shape,
+        };
+        single::run(&single, &mut self.session).await
+    }
+
+    /// Answers with a failure, which also ends an open transaction.
+    fn fail(&mut self, failure: Failure) -> Answer {
+        if let Some(transaction) = self.transaction.take() {
+            transaction.roll_back();
+            self.session.phase = Phase::Failed;
+        }
+        failure.into()
+    }
+
+    fn abort(&mut self, reason: &str) -> Answer {
+        self.fail(Failure::new(Code::Aborted, reason))
+    }
+
+    /// Ends a transaction that has been idle for too long; its next statement is refused.
+    fn end_idle(&mut self) {
+        info!(self.node.log, "idle transaction ended"; "event" => "transaction",
+            "caller" => %self.caller);
+        if let Some(transaction) = self.transaction.as_mut() {
+            transaction.expire();
+        }
+    }
+
+    fn route(&self) -> Option<Arc<Route>> {
+        self.node.routes.borrow().find(&self.database).cloned()
+    }
+
+    /// Sends an answer, if there is one, and that the next statement is taken.
+    async fn send(&mut self, answer: Option<&Answer>) -> std::io::Result<()> {
+        let mut out = String::new();
+        if let Some(answer) = answer {
+            answer.encode(&mut out);
+        }
+        wire::encode_ready(self.session.phase, &mut out);
+        self.lines.get_mut().write_all(out.as_bytes()).await
+    }
+
+    /// Sends why the session ends.
+    async fn close(&mut self, code: Code, detail: &str) -> std::io::Result<()> {
+        let mut out = String::new();
+        wire::encode_error(code, detail, &mut out);
+        self.lines.get_mut().write_all(out.as_bytes()).await
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/single.rs
@@ -0,0 +1,358 @@
+//! Statements outside transactions: choice of the upstream, tries and outcome.
+//!
+//! A statement that certainly did not run is tried elsewhere at once. A read may also be repeated
+//! after a lost answer; a write may not, and its outcome is then unknown.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::dispatch::Finish;
+use chervildrift_core::relay::{
+    Access, Candidate, Code, Consistency, Floor, Route, Session, Shape, choose,
+};
+use chervildrift_core::types::{Caller, Mark, Time, Upstream};
+use chervildrift_platform::wire::Command;
+use smallvec::SmallVec;
+use tokio::time::sleep;
+
+use super::answer::{Answer, Failure};
+use super::clock;
+use super::link::{LinkError, Reply};
+use super::node::Node;
+use super::pool::{Demand, Lease};
+use super::transaction::staleness;
+
+/// Tries of one statement; a fleet that refuses more often is in a state that needs time.
+const TRIES: u32 = 8;
+
+/// Pause before a try after an upstream had no room or no leader was found.
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// Part of a statement's limit that one try of a read may take, so that another one is left.
+const READ_PART: f64 = 0.6;
+
+/// A statement outside a transaction.
+pub(super) struct Single<'a> {
+    pub node: &'a Rc<Node>,
+    pub route: &'a Route,
+    pub caller: &'a Caller,
+    pub id: &'a str,
+    pub text: &'a str,
+    pub access: Access,
+    pub shape: Option<&'a Shape>,
+}
+
+/// The tries of one statement, or of the begin of a transaction.
+pub(super) struct Turn<'a> {
+    node: &'a Rc<Node>,
+    route: &'a Route,
+    caller: &'a Caller,
+    started: Time,
+    tries: u32,
+    /// Replicas that lack the needed position.
+    lagging: SmallVec<[Upstream; 4]>,
+}
+
+/// Where a statement is tried.
+pub(super) struct Target {
+    /// Upstream that runs it.
+    pub upstream: Upstream,
+    /// What the upstream has to show.
+    pub floor: Floor,
+}
+
+impl<'a> Turn<'a> {
+    /// Opens a turn that starts now.
+    pub(super) fn open(node: &'a Rc<Node>, route: &'a Route, caller: &'a Caller) -> Self {
+        Self {
+            node,
+            route,
+            caller,
+            started: clock::now(),
+            tries: 0,
+            lagging: SmallVec::new(),
+        }
+    }
+
+    /// Returns the limit of one exchange.
+    pub(super) const fn limit(&self) -> Duration {
+        self.route.timeout
+    }
+
+    /// Chooses the upstream for the next try.
+    pub(super) async fn target(
+        &mut self,
+        access: Access,
+        session: &Session,
+    ) -> Result<Target, Failure> {
+        self.tries += 1;
+        if self.tries > TRIES {
+            return Err(Failure::new(Code::Busy, "too many tries"));
+        }
+        if access == Access::Read
+            && let Some(target) = self.replica(session)
+        {
+            return Ok(target);
+        }
+        let upstream = self.node.leader(&self.route.service, self.left()).await?;
+        Ok(Target {
+            upstream,
+            floor: Floor::Leader,
+        })
+    }
+
+    /// Returns the time for which the statement may still be held.
+    fn left(&self) -> Duration {
+        let hold = Duration::from_millis(self.node.settings.hold_ms);
+        (self.started + hold).since(clock::now())
+    }
+
+    /// Chooses an upstream for a read that need not run at the leader.
+    fn replica(&self, session: &Session) -> Option<Target> {
+        let bound = staleness(self.route)?;
+        let own = match self.route.consistency {
+            Consistency::Session(_) => session.own,
+            Consistency::Primary | Consistency::Bounded(_) => None,
+        };
+        let now = clock::now();
+        let service = &self.route.service;
+        let (floor, leader) = self.node.with_group(service, |group| {
+            (group.floor(now, bound, own), group.leader().cloned())
+        });
+        if floor == Floor::Leader {
+            return None;
+        }
+        let directory = self.node.directory.borrow();
+        let mut candidates: SmallVec<[Candidate; 4]> = SmallVec::new();
+        for entry in directory.of(service) {
+            if entry.draining || self.lagging.contains(&entry.upstream) {
+                continue;
+            }
+            let Some(pool) = self.node.pool(&entry.upstream) else {
+                continue;
+            };
+            candidates.push(Candidate {
+                upstream: entry.upstream.clone(),
+                distance: self.node.distance(&pool, &entry.zone),
+                wait: pool.wait(self.route.rank),
+                lagged: pool.lagged.get(),
+                failed: pool.failed.get(),
+            });
+        }
+        let chosen = choose(now, &candidates)?;
+        // The leader needs no position, and its log may lack one that a promotion rolled back.
+        let floor = if leader.as_ref() == Some(&chosen.upstream) {
+            Floor::Leader
+        } else {
+            floor
+        };
+        Some(Target {
+            upstream: chosen.upstream.clone(),
+            floor,
+        })
+    }
+
+    /// Waits for a connection to the target.
+    pub(super) async fn acquire(&self, target: &Target) -> Result<Lease, Failure> {
+        let Some(pool) = self.node.pool(&target.upstream) else {
+            return Err(Failure::new(Code::Busy, "the upstream has gone"));
+        };
+        let now = clock::now();
+        // A statement that was held for a leader gets part of its objective once more.
+        let deadline = (self.started + self.route.target).max(now + self.route.target / 2);
+        let demand = Demand {
+            kind: self.route.kind.clone(),
+            caller: self.caller.clone(),
+            deadline,
+        };
+        let lease = pool.acquire(demand).await;
+        lease.map_err(|refusal| Failure::new(Code::Busy, refusal.to_string()))
+    }
+
+    /// Takes in that a leader has answered.
+    pub(super) fn observe(&self, target: &Target, asked: Time, mark: Option<Mark>) {
+        if target.floor == Floor::Leader
+            && let Some(mark) = mark
+        {
+            self.node.with_group(&self.route.service, |group| {
+                group.sample(clock::now(), asked, &target.upstream, mark);
+            });
+        }
+    }
+
+    /// Takes in that the target did not run the statement; fails if no other try makes sense.
+    pub(super) async fn refused(
+        &mut self,
+        target: &Target,
+        refusal: Option<(Code, String)>,
+    ) -> Result<(), Failure> {
+        let (code, detail) = refusal.unwrap_or((Code::Failed, String::new()));
+        let pool = self.node.pool(&target.upstream);
+        match code {
+            Code::ReadOnly => self
+                .node
+                .refused_lead(&self.route.service, &target.upstream),
+            Code::Lagging => {
+                self.lagging.push(target.upstream.clone());
+                if let Some(pool) = pool {
+                    pool.lagged.set(Some(clock::now()));
+                }
+            }
+            Code::Busy | Code::Overloaded => sleep(PAUSE).await,
+            Code::WrongUpstream => {
+                if let Some(pool) = pool {
+                    pool.failed.set(Some(clock::now()));
+                }
+                sleep(PAUSE).await;
+            }
+            _ => return Err(Failure::new(code, detail)),
+        }
+        Ok(())
+    }
+
+    /// Takes in that the target could not be asked or gave no answer, so that a statement which may
+    /// be repeated can be tried elsewhere.
+    pub(super) async fn lost(
+        &mut self,
+        target: &Target,
+        err: &LinkError,
+        asked: Time,
+    ) -> Result<(), Failure> {
+        if let LinkError::Refused(code, detail) = err {
+            return self.refused(target, Some((*code, detail.clone()))).await;
+        }
+        self.node
+            .with_group(&self.route.service, |group| group.miss(&target.upstream));
+        if let Some(pool) = self.node.pool(&target.upstream) {
+            pool.failed.set(Some(clock::now()));
+            pool.distrust(asked);
+        }
+        if self.left().is_zero() {
+            return Err(Failure::new(Code::Busy, err.to_string()));
+        }
+        sleep(PAUSE).await;
+        Ok(())
+    }
+}
+
+/// Outcome of one try.
+enum Tried {
+    /// The statement has its answer.
+    Answered(Answer),
+    /// Another try may be made.
+    Again,
+}
+
+/// Runs a statement to its answer.
+pub(super) async fn run(single: &Single<'_>, session: &mut Session) -> Answer {
+    let mut turn = Turn::open(single.node, single.route, single.caller);
+    loop {
+        match try_once(single, &mut turn, session).await {
+            Ok(Tried::Answered(answer)) => return answer,
+            Ok(Tried::Again) => {}
+            Err(failure) => return failure.into(),
+        }
+    }
+}
+
+async fn try_once(
+    single: &Single<'_>,
+    turn: &mut Turn<'_>,
+    session: &mut Session,
+) -> Result<Tried, Failure> {
+    let target = turn.target(single.access, session).await?;
+    let mut lease = turn.acquire(&target).await?;
+    let asked = clock::now();
+    let link = match lease.link(session, single.shape).await {
+        Ok(link) => link,
+        Err(err) => return turn.lost(&target, &err, asked).await.map(|()| Tried::Again),
+    };
+    let read = single.access == Access::Read;
+    let wrapped = read && target.floor == Floor::Leader;
+    let command = Command::Run {
+        id: single.id,
+        after: match target.floor {
+            Floor::At(mark) => Some(mark),
+            Floor::Leader => None,
+        },
+        text: single.text,
+    };
+    let commands: &[Command<'_>] = if wrapped {
+        // A plain read is answered also by an upstream that has lost its lead; the begin is not.
+        &[
+            Command::Begin(Access::Write, None),
+            command,
+            Command::Rollback,
+        ]
+    } else {
+        &[command]
+    };
+    let limit = if read {
+        turn.limit().mul_f64(READ_PART)
+    } else {
+        turn.limit()
+    };
+    let asked = clock::now();
+    let ran = link.run_for(session, single.shape, commands, limit).await;
+    lease.finish = if ran.is_ok() {
+        Finish::Done
+    } else {
+        Finish::Failed
+    };
+    drop(lease);
+    let replies = match ran {
+        Ok(replies) => replies,
+        Err(err) if read => return turn.lost(&target, &err, asked).await.map(|()| Tried::Again),
+        Err(err) => {
+            turn.lost(&target, &err, asked).await?;
+            return Err(Failure::new(Code::InDoubt, err.to_string()));
+        }
+    };
+    settle(single, turn, session, &target, asked, wrapped, replies).await
+}
+
+/// Judges the answers of one try.
+async fn settle(
+    single: &Single<'_>,
+    turn: &mut Turn<'_>,
+    session: &mut Session,
+    target: &Target,
+    asked: Time,
+    wrapped: bool,
+    replies: Vec<Reply>,
+) -> Result<Tried, Failure> {
+    let mut replies = replies.into_iter();
+    if wrapped && let Some(begin) = replies.next() {
+        if let Err(refusal) = begin.result {
+            // The read ran outside a transaction, so its answer proves nothing.
+            turn.refused(target, Some(refusal)).await?;
+            return Ok(Tried::Again);
+        }
+        turn.observe(target, asked, begin.mark);
+    }
+    let Some(reply) = replies.next() else {
+        return Err(Failure::new(Code::InDoubt, "no answer"));
+    };
+    match reply.result {
+        Ok(signature) => {
+            if single.access == Access::Write {
+                turn.observe(target, asked, reply.mark);
+                let service = &single.route.service;
+                let own = single
+                    .node
+                    .with_group(service, |group| group.own(reply.mark));
+                session.own = Some(own);
+            }
+            let rows = reply.rows;
+            Ok(Tried::Answered(Answer::Upstream { rows, signature }))
+        }
+        Err((Code::Failed | Code::Timeout, _)) if single.access == Access::Read => {
+            sleep(PAUSE).await;
+            Ok(Tried::Again)
+        }
+        Err(refusal) => {
+            turn.refused(target, Some(refusal)).await?;
+            Ok(Tried::Again)
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift/src/relay/start.rs
@@ -0,0 +1,98 @@
+//! Start of the VM and its main task.
+
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use chervildrift_core::config::RelaySettings;
+use chervildrift_platform::promotion::Promotions;
+use chervildrift_platform::store::{Limits, Store};
+use slog::{Logger, info, warn};
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::{Notify, watch};
+use tokio::task::{LocalSet, spawn_local};
+
+use super::node::Node;
+use super::stop::{self, Stage};
+use super::{Error, keeper, listener, presence, watch as follow};
+use crate::http::{self, Probe};
+use crate::wall;
+
+/// Runs the VM until it is told to stop; true when no request was cut.
+pub fn run(settings: RelaySettings, path: &Path, log: Logger) -> Result<bool, Error> {
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, serve(settings, path, log))
+}
+
+async fn serve(settings: RelaySettings, path: &Path, log: Logger) -> Result<bool, Error> {
+    let mut term = signal(SignalKind::terminate())?;
+    let mut int = signal(SignalKind::interrupt())?;
+    let mut hup = signal(SignalKind::hangup())?;
+    let ready = Arc::new(AtomicBool::new(false));
+    let operators = http::bind_operators(settings.operators, probe(&ready))?;
+    let callers = TcpListener::bind(settings.callers).await?;
+    let node = Rc::new(open(settings, log, &ready)?);
+    info!(node.log, "started"; "event" => "start", "callers" => %node.settings.callers,
+        "operators" => %node.settings.operators, "store" => %node.settings.store);
+    spawn_local(follow::routes(Rc::clone(&node)));
+    spawn_local(follow::upstreams(Rc::clone(&node)));
+    spawn_local(follow::expire(Rc::clone(&node)));
+    spawn_local(presence::keep(Rc::clone(&node)));
+    spawn_local(keeper::keep(Rc::clone(&node)));
+    spawn_local(listener::accept(Rc::clone(&node), callers));
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = int.recv() => break,
+            _ = hup.recv() => reload(&node, path),
+        }
+    }
+    stop::stop(&node).await;
+    operators.stop();
+    Ok(node.sessions.get() == 0)
+}
+
+fn open(settings: RelaySettings, log: Logger, ready: &Arc<AtomicBool>) -> Result<Node, Error> {
+    let promotions = settings.promotions.map(Promotions::open).transpose()?;
+    Ok(Node {
+        boot: wall::clock_ms(),
+        store: Store::open(settings.store, Limits::default())?,
+        promotions,
+        log,
+        settings,
+        directory: Default::default(),
+        routes: Default::default(),
+        groups: Default::default(),
+        pools: Default::default(),
+        vms: std::cell::Cell::new(DEFAULT_VMS),
+        sessions: Default::default(),
+        changed: Notify::new(),
+        stage: watch::Sender::new(Stage::Serving),
+        listed: Default::default(),
+        ready: Arc::clone(ready),
+    })
+}
+
+/// VMs that are assumed to share the connections until they have been counted.
+const DEFAULT_VMS: usize = 10;
+
+fn probe(ready: &Arc<AtomicBool>) -> Probe {
+    let ready = Arc::clone(ready);
+    Probe {
+        alive: Box::new(|| true),
+        ready: Box::new(move || ready.load(Ordering::Acquire)),
+        metrics: Box::new(Vec::new),
+        burn: Box::new(|_| Vec::new()),
+    }
+}
+
+/// Reads the settings file again and says what a restart would change.
+fn reload(node: &Node, path: &Path) {
+    match crate::cli::read_relay(path) {
+        Ok(_) => info!(node.log, "settings read again"; "event" => "reload"),
+        Err(err) => warn!(node.log, "settings not read"; "event" => "reload", "error" => %err),
+    }
+}
--- a/chervildrift_core/src/config/check.rs
+++ b/chervildrift_core/src/config/check.rs
@@ -7,7 +7,10 @@
 use serde_saphyr::{Location, Spanned};
 
 use super::file::{File, FileFloors, FileInstance, FileKind, FileObjective, FileUpstream};
-use super::{Access, Declaration, Floors, GroupSpec, KindSpec, Objective, Settings, UpstreamSpec};
+use super::{
+    Access, Declaration, Floors, GroupSpec, KindSpec, Objective, RelaySettings, Settings,
+    UpstreamSpec,
+};
 use crate::types::{Kind, Service, Upstream};
 
 /// Longest name of a service, instance, upstream, kind or zone, in bytes.
@@ -54,6 +57,11 @@
     serde_saphyr::from_str(text).map_err(|err| vec![syntax(&err)])
 }
 
+/// Checks the settings file of a VM that relays callers' sessions.
+pub fn check_relay(text: &str) -> Result<RelaySettings, Vec<Finding>> {
+    serde_saphyr::from_str(text).map_err(|err| vec![syntax(&err)])
+}
+
 fn syntax(err: &serde_saphyr::Error) -> Finding {
     let place = err.location().unwrap_or(Location::UNKNOWN);
     let text = err.without_snippet().to_string();
--- a/chervildrift_core/src/config/mod.rs
+++ b/chervildrift_core/src/config/mod.rs
@@ -9,15 +9,17 @@
 mod error;
 mod explain;
 mod file;
+mod relay;
 mod settings;
 
 pub use self::bundle::Bundle;
-pub use self::check::{Finding, check, check_settings};
+pub use self::check::{Finding, check, check_relay, check_settings};
 pub use self::declaration::{
     Access, Declaration, Floors, GroupSpec, KindSpec, Objective, Routing, UpstreamSpec,
 };
 pub use self::error::Error;
 pub use self::explain::explain;
+pub use self::relay::RelaySettings;
 pub use self::settings::{
     Callers, Credential, Keys, Log, LogFormat, LogLevel, Operators, Peers, Platform, Settings,
     Stop, UpstreamLogin,
--- /dev/null
+++ b/chervildrift_core/src/config/relay.rs
@@ -0,0 +1,51 @@
+//! Settings of a VM that relays callers' sessions.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::Log;
+use crate::types::{Vm, Zone};
+
+/// Settings of a VM that relays callers' sessions, as in its settings file.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RelaySettings {
+    /// Name of the VM.
+    pub vm: Vm,
+    /// Availability zone of the VM.
+    pub zone: Zone,
+    /// Regions of the availability zones.
+    #[serde(default)]
+    pub regions: BTreeMap<Zone, String>,
+    /// Address of the callers' listener.
+    pub callers: SocketAddr,
+    /// Address of the operators' listener.
+    pub operators: SocketAddr,
+    /// Address of the platform's store.
+    pub store: SocketAddr,
+    /// Address that takes orders to promote an upstream, if the platform takes any.
+    #[serde(default)]
+    pub promotions: Option<SocketAddr>,
+    /// Time between a signal to stop and the end of the process, in seconds.
+    #[serde(default = "RelaySettings::grace_s")]
+    pub grace_s: f64,
+    /// Longest time that a request is held for a leader, in milliseconds.
+    #[serde(default = "RelaySettings::hold_ms")]
+    pub hold_ms: u64,
+    /// Logs.
+    #[serde(default)]
+    pub log: Log,
+}
+
+impl RelaySettings {
+    const fn grace_s() -> f64 {
+        6.0
+    }
+
+    /// Covers a failover: its detection, the votes, the order and the start of the new leader.
+    const fn hold_ms() -> u64 {
+        4_000
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/admission.rs
@@ -0,0 +1,55 @@
+//! Rules by which the connections of one upstream are shared out.
+
+use std::time::Duration;
+
+use super::route::RouteTable;
+use super::statement::Access;
+use crate::dispatch::{KindPolicy, Policy, RAMP, WINDOW};
+use crate::types::{Kind, Rank, Service};
+
+/// Kind of the VM's own statements.
+pub const PROBE: &str = "probe";
+
+/// Waiting statements of one rank at one upstream.
+const QUEUE_LIMIT: usize = 64;
+
+/// Floors of slot time of the ranks, as in operators' files that state none.
+const FLOORS: [f64; Rank::COUNT] = [0.3, 0.2, 0.1];
+
+/// Service time that is expected before any statement has finished.
+const EXPECTED_SERVICE: Duration = Duration::from_millis(20);
+
+/// Returns the rules for `links` connections to an upstream of a service.
+#[must_use]
+pub fn policy(routes: &RouteTable, service: &Service, links: usize) -> Policy {
+    let mut kinds = vec![KindPolicy::new(
+        Kind::from(PROBE),
+        Rank::Urgent,
+        EXPECTED_SERVICE,
+    )];
+    for route in routes.of(service) {
+        kinds.push(KindPolicy::new(
+            route.kind.clone(),
+            route.rank,
+            EXPECTED_SERVICE,
+        ));
+    }
+    Policy {
+        slots: links,
+        queue_limits: [QUEUE_LIMIT; Rank::COUNT],
+        floors: FLOORS,
+        kinds,
+        window: WINDOW,
+        reserve: 0.0,
+        ramp: RAMP,
+        adaptive: false,
+    }
+}
+
+impl Access {
+    /// Tells whether the access needs the leader.
+    #[must_use]
+    pub const fn needs_leader(self) -> bool {
+        matches!(self, Self::Write)
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/choice.rs
@@ -0,0 +1,39 @@
+//! Choice of the upstream for a read that several may serve.
+
+use std::time::Duration;
+
+use crate::types::{Time, Upstream};
+
+/// Time for which an upstream that lacked a needed position is asked last.
+const LAGGING_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time for which an upstream that gave no answer is asked last.
+const FAILED_PAUSE: Duration = Duration::from_millis(500);
+
+/// An upstream that may serve a read.
+#[derive(Clone, Debug)]
+pub struct Candidate {
+    /// Name of the upstream.
+    pub upstream: Upstream,
+    /// Time of a message there and back.
+    pub distance: Duration,
+    /// Estimated wait for a connection.
+    pub wait: Duration,
+    /// When it last lacked a needed position.
+    pub lagged: Option<Time>,
+    /// When it last gave no answer.
+    pub failed: Option<Time>,
+}
+
+/// Returns the candidate that is expected to answer first.
+#[must_use]
+pub fn choose(now: Time, candidates: &[Candidate]) -> Option<&Candidate> {
+    let recent = |at: Option<Time>, pause: Duration| at.is_some_and(|at| now.since(at) < pause);
+    candidates.iter().min_by_key(|it| {
+        (
+            recent(it.failed, FAILED_PAUSE),
+            recent(it.lagged, LAGGING_PAUSE),
+            it.distance + it.wait,
+        )
+    })
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/directory.rs
@@ -0,0 +1,110 @@
+//! Upstreams that the platform lists.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::types::{Role, Service, Time, Upstream, Zone};
+
+/// Time for which an upstream is kept after its entry has gone.
+///
+/// Entries that lapsed while the platform's store was away are back within two seconds of its
+/// return; half a second more covers the way of the news.
+const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
+
+/// An upstream as the platform lists it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Name of the upstream.
+    pub upstream: Upstream,
+    /// Service that it belongs to.
+    pub service: Service,
+    /// Address of its listener.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: Zone,
+    /// Statements that it runs at once.
+    pub slots: usize,
+    /// Whether it is about to leave.
+    pub draining: bool,
+    /// Role as it sees itself.
+    pub role: Role,
+    /// Start of its process, in milliseconds of the Unix epoch.
+    pub born: u64,
+    /// Version of the entry; a greater one is newer.
+    pub version: u64,
+}
+
+/// Upstreams that the platform lists.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    entries: HashMap<Upstream, Entry>,
+    lapsed: HashMap<Upstream, Time>,
+}
+
+impl Directory {
+    /// Takes in a new or changed entry.
+    pub fn put(&mut self, entry: Entry) {
+        self.lapsed.remove(&entry.upstream);
+        self.entries.insert(entry.upstream.clone(), entry);
+    }
+
+    /// Notes that an entry has gone; its upstream stays for a grace period.
+    pub fn lapse(&mut self, now: Time, upstream: &Upstream) {
+        if self.entries.contains_key(upstream) {
+            self.lapsed.entry(upstream.clone()).or_insert(now);
+        }
+    }
+
+    /// Drops an upstream at once, such as one whose entry can't be read.
+    pub fn drop_now(&mut self, upstream: &Upstream) {
+        self.entries.remove(upstream);
+        self.lapsed.remove(upstream);
+    }
+
+    /// Takes in the names of a full listing; entries that it lacks lapse.
+    pub fn retain(&mut self, now: Time, listed: &[Upstream]) {
+        let known: Vec<Upstream> = self.entries.keys().cloned().collect();
+        for upstream in known.iter().filter(|name| !listed.contains(name)) {
+            self.lapse(now, upstream);
+        }
+    }
+
+    /// Drops the upstreams whose grace period is over, and returns them.
+    pub fn expire(&mut self, now: Time) -> Vec<Upstream> {
+        let over = |at: &Time| now.since(*at) >= LAPSE_GRACE;
+        let gone: Vec<Upstream> = self
+            .lapsed
+            .iter()
+            .filter(|(_, at)| over(at))
+            .map(|(upstream, _)| upstream.clone())
+            .collect();
+        for upstream in &gone {
+            self.drop_now(upstream);
+        }
+        gone
+    }
+
+    /// Returns the entry of an upstream.
+    #[must_use]
+    pub fn get(&self, upstream: &Upstream) -> Option<&Entry> {
+        self.entries.get(upstream)
+    }
+
+    /// Returns all entries.
+    pub fn iter(&self) -> impl Iterator<Item = &Entry> {
+        self.entries.values()
+    }
+
+    /// Returns the entries of a service.
+    pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Entry> {
+        self.iter().filter(move |entry| entry.service == *service)
+    }
+
+    /// Returns the upstream of a service that last reported itself as primary.
+    #[must_use]
+    pub fn reported_primary<'a>(&'a self, service: &'a Service) -> Option<&'a Entry> {
+        let primaries = self.of(service).filter(|it| it.role == Role::Primary);
+        primaries.max_by_key(|entry| entry.version)
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/election.rs
@@ -0,0 +1,118 @@
+//! Whether a VM may replace the leader of a service, and by which upstream.
+//!
+//! Nobody reports a dead leader. A VM that suspects one says so in the platform's store; a majority
+//! of the VMs that run must agree, since a leader may be cut off from some VMs only. Whoever then
+//! raises the fencing token in the service's record by a conditional write may order a promotion.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::{Mark, Upstream, Vm};
+
+/// Age from which a vote no longer counts; votes are renewed every second.
+const VOTE_KEPT: Duration = Duration::from_millis(2_500);
+
+/// Time between two claims of different VMs on one service.
+///
+/// It covers an order to the platform and the upstream's start as leader.
+const CLAIM_PAUSE: Duration = Duration::from_secs(4);
+
+/// Time that each VM waits longer than the one before it in the service's order.
+const STAGGER: Duration = Duration::from_millis(300);
+
+/// A VM's word that the leader of a service does not answer.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Vote {
+    /// VM that votes.
+    pub vm: Vm,
+    /// Leader that does not answer.
+    pub leader: Upstream,
+    /// Time of the platform's store at the vote, in milliseconds.
+    pub at: u64,
+}
+
+/// Record of the VM that may order promotions of a service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claim {
+    /// VM that holds the claim.
+    pub vm: Vm,
+    /// Start of its process, which tells apart two processes of one VM.
+    pub boot: u64,
+    /// Fencing token; a greater one belongs to a later claim.
+    pub token: u64,
+    /// Leader that is to be replaced.
+    pub replaces: Upstream,
+    /// Time of the platform's store at the claim, in milliseconds.
+    pub at: u64,
+}
+
+/// What a VM does about a leader that is to be replaced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Stance {
+    /// Too few VMs agree, or another VM acts already.
+    Wait,
+    /// Another VM goes first.
+    Later(Duration),
+    /// Claims the service with this token.
+    Claim(u64),
+}
+
+/// What is known of a service whose leader is to be replaced.
+#[derive(Clone, Copy, Debug)]
+pub struct Case<'a> {
+    /// Leader to be replaced.
+    pub leader: &'a Upstream,
+    /// Whether it leaves as planned, for which no votes are needed.
+    pub planned: bool,
+    /// VMs that run, in the order of their names.
+    pub live: &'a [Vm],
+    /// Votes on the service.
+    pub votes: &'a [Vote],
+    /// Record of the last claim.
+    pub claim: Option<&'a Claim>,
+    /// Time of the platform's store, in milliseconds.
+    pub store_ms: u64,
+    /// Time since this VM first wanted the change.
+    pub waited: Duration,
+    /// Number that spreads the services over the VMs.
+    pub spread: u64,
+}
+
+/// Decides what this VM does.
+#[must_use]
+pub fn stance(me: &Vm, case: &Case<'_>) -> Stance {
+    let age = |at: u64| Duration::from_millis(case.store_ms.saturating_sub(at));
+    if let Some(claim) = case.claim
+        && age(claim.at) < CLAIM_PAUSE
+    {
+        return Stance::Wait;
+    }
+    if !case.planned {
+        let counts = |vote: &&Vote| vote.leader == *case.leader && age(vote.at) < VOTE_KEPT;
+        let votes = case.votes.iter().filter(counts).count();
+        if votes * 2 <= case.live.len() {
+            return Stance::Wait;
+        }
+    }
+    let delay = STAGGER * place(me, case);
+    if case.waited < delay {
+        return Stance::Later(delay.saturating_sub(case.waited));
+    }
+    Stance::Claim(case.claim.map_or(0, |claim| claim.token) + 1)
+}
+
+/// Returns the place of a VM in the order of the VMs for this service.
+fn place(me: &Vm, case: &Case<'_>) -> u32 {
+    let count = case.live.len().max(1);
+    let own = case.live.iter().position(|vm| vm == me).unwrap_or(count);
+    let first = (case.spread % count as u64) as usize;
+    ((own + count - first) % count) as u32
+}
+
+/// Returns the upstream that has received most of the log.
+#[must_use]
+pub fn furthest(received: &[(Upstream, Mark)]) -> Option<&Upstream> {
+    let most = received.iter().max_by_key(|(_, mark)| *mark);
+    most.map(|(upstream, _)| upstream)
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/group.rs
@@ -0,0 +1,196 @@
+//! What a VM knows of the upstreams of one service: the leader and samples of its log.
+//!
+//! A sample is the position that the leader showed in an answer which only a leader gives. It covers
+//! every commit that was acknowledged before the request for it was sent. Samples of an earlier
+//! leader are dropped, since its last commits may have been rolled back.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::types::{Mark, Time, Upstream};
+
+/// Time between the samples that are kept.
+const SAMPLE_STEP: Duration = Duration::from_millis(50);
+
+/// Age from which samples are dropped; routes allow reads that are a few seconds old.
+const SAMPLE_KEPT: Duration = Duration::from_secs(10);
+
+/// Part of a staleness bound that is left for the way of the read.
+const STALENESS_SLACK: Duration = Duration::from_millis(100);
+
+/// Failures in a row after which a silent leader is suspected; a single one may be the link's.
+const SUSPECT_MISSES: u32 = 2;
+
+/// Silence after which a leader is suspected.
+///
+/// At 600 ms no false change was seen at 15% lost and 30% late reads (docs/decisions.md).
+const SUSPECT_SILENCE: Duration = Duration::from_millis(600);
+
+/// A position of the leader's log and when it was asked for.
+#[derive(Clone, Copy, Debug)]
+struct Sample {
+    asked: Time,
+    mark: Mark,
+}
+
+/// Newest commit of a session.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Own {
+    /// Position of the commit, if the upstream told it.
+    pub mark: Option<Mark>,
+    /// Leadership under which it was acknowledged.
+    pub epoch: u64,
+}
+
+/// Position that a read needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Floor {
+    /// Any upstream whose log holds this position may serve the read.
+    At(Mark),
+    /// Only the leader may.
+    Leader,
+}
+
+/// What a VM knows of the upstreams of one service.
+#[derive(Clone, Debug, Default)]
+pub struct Group {
+    leader: Option<Upstream>,
+    epoch: u64,
+    samples: VecDeque<Sample>,
+    /// When the leader last answered, or became leader.
+    heard: Time,
+    misses: u32,
+    /// Upstreams that refused to lead, with the version of their entry then.
+    refused: Vec<(Upstream, u64)>,
+}
+
+impl Group {
+    /// Returns the leader.
+    #[must_use]
+    pub const fn leader(&self) -> Option<&Upstream> {
+        self.leader.as_ref()
+    }
+
+    /// Returns the number of leaderships seen, which tags the commits of sessions.
+    #[must_use]
+    pub const fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Takes an upstream for the leader; false if it was already.
+    pub fn lead(&mut self, now: Time, upstream: &Upstream) -> bool {
+        if self.leader.as_ref() == Some(upstream) {
+            return false;
+        }
+        self.leader = Some(upstream.clone());
+        self.epoch += 1;
+        self.samples.clear();
+        self.heard = now;
+        self.misses = 0;
+        self.refused.retain(|(name, _)| name != upstream);
+        true
+    }
+
+    /// Notes that an upstream refused to lead while its entry had this version.
+    pub fn refuse(&mut self, upstream: &Upstream, version: u64) {
+        self.refused.retain(|(name, _)| name != upstream);
+        self.refused.push((upstream.clone(), version));
+        self.drop_leader(upstream);
+    }
+
+    /// Forgets the leader if it is this upstream.
+    pub fn drop_leader(&mut self, upstream: &Upstream) {
+        if self.leader.as_ref() == Some(upstream) {
+            self.leader = None;
+            self.samples.clear();
+        }
+    }
+
+    /// Tells whether an upstream refused to lead under this version of its entry.
+    #[must_use]
+    pub fn has_refused(&self, upstream: &Upstream, version: u64) -> bool {
+        let same = |it: &(Upstream, u64)| it.0 == *upstream && it.1 >= version;
+        self.refused.iter().any(same)
+    }
+
+    /// Takes in a position that an upstream showed as leader, asked for at `asked`.
+    pub fn sample(&mut self, now: Time, asked: Time, upstream: &Upstream, mark: Mark) {
+        if self.leader.as_ref() != Some(upstream) {
+            return;
+        }
+        self.heard = now;
+        self.misses = 0;
+        while let Some(first) = self.samples.front()
+            && now.since(first.asked) > SAMPLE_KEPT
+        {
+            self.samples.pop_front();
+        }
+        if let Some(last) = self.samples.back()
+            && asked < last.asked + SAMPLE_STEP
+        {
+            return;
+        }
+        self.samples.push_back(Sample { asked, mark });
+    }
+
+    /// Notes that the leader gave no answer.
+    pub fn miss(&mut self, upstream: &Upstream) {
+        if self.leader.as_ref() == Some(upstream) {
+            self.misses += 1;
+        }
+    }
+
+    /// Starts to judge the leader anew, as after a time in which this VM did not run.
+    pub const fn doubt(&mut self, now: Time) {
+        self.heard = now;
+        self.misses = 0;
+    }
+
+    /// Tells whether the leader seems to be dead.
+    #[must_use]
+    pub fn suspects(&self, now: Time) -> bool {
+        self.leader.is_some()
+            && self.misses >= SUSPECT_MISSES
+            && now.since(self.heard) >= SUSPECT_SILENCE
+    }
+
+    /// Returns the age of the newest sample.
+    #[must_use]
+    pub fn age(&self, now: Time) -> Option<Duration> {
+        self.samples.back().map(|sample| now.since(sample.asked))
+    }
+
+    /// Returns the position that a read at most `bound` old needs, which is as old as allowed so
+    /// that lagging replicas can serve it.
+    #[must_use]
+    pub fn floor(&self, now: Time, bound: Duration, own: Option<Own>) -> Floor {
+        let reach = bound.saturating_sub(STALENESS_SLACK);
+        let young = |sample: &&Sample| now.since(sample.asked) <= reach;
+        let Some(oldest) = self.samples.iter().find(young) else {
+            return Floor::Leader;
+        };
+        match own {
+            None => Floor::At(oldest.mark),
+            Some(own) if own.epoch == self.epoch => own
+                .mark
+                .map_or(Floor::Leader, |mark| Floor::At(oldest.mark.max(mark))),
+            // The commit may have been rolled back; the newest sample holds it if it was not.
+            Some(_) => self.newest().map_or(Floor::Leader, Floor::At),
+        }
+    }
+
+    /// Returns the newest position of the leader.
+    #[must_use]
+    pub fn newest(&self) -> Option<Mark> {
+        self.samples.back().map(|sample| sample.mark)
+    }
+
+    /// Tags the newest commit of a session.
+    #[must_use]
+    pub const fn own(&self, mark: Option<Mark>) -> Own {
+        Own {
+            mark,
+            epoch: self.epoch,
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/membership.rs
@@ -0,0 +1,45 @@
+//! VMs that share the connections of the upstreams.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::types::Vm;
+
+/// Age from which a VM's record no longer counts; two of its renewals may be lost.
+const PRESENCE_KEPT: Duration = Duration::from_secs(25);
+
+/// Connections of each upstream that stay free for VMs that come and for lost VMs' connections,
+/// which linger for seconds.
+const SPARE_SHARE: f64 = 0.1;
+
+/// Record by which a VM shows that it runs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Presence {
+    /// Name of the VM.
+    pub vm: Vm,
+    /// Time of the platform's store at the renewal, in milliseconds.
+    pub at: u64,
+}
+
+/// Returns the VMs that run, in the order of their names.
+#[must_use]
+pub fn live(records: &[Presence], store_ms: u64) -> Vec<Vm> {
+    let fresh =
+        |it: &&Presence| Duration::from_millis(store_ms.saturating_sub(it.at)) < PRESENCE_KEPT;
+    let mut names: Vec<Vm> = records
+        .iter()
+        .filter(fresh)
+        .map(|it| it.vm.clone())
+        .collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+/// Returns the connections that one of `vms` may hold to an upstream that takes `limit`.
+#[must_use]
+pub fn links_each(limit: usize, vms: usize) -> usize {
+    let spare = (limit as f64 * SPARE_SHARE).ceil() as usize;
+    (limit.saturating_sub(spare) / vms.max(1)).max(1)
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/mod.rs
@@ -0,0 +1,28 @@
+//! Decisions of a VM that relays callers' sessions to the upstreams of its services.
+//!
+//! A session belongs to one caller connection. Its statements run on upstream connections that all
+//! sessions share, so the session keeps what an upstream connection must look like before a
+//! statement of it may run there. Reads outside the primary carry the log position that they need;
+//! reads at the primary run inside a transaction, which an upstream that has lost its lead refuses.
+
+mod admission;
+mod choice;
+mod code;
+mod directory;
+mod election;
+mod group;
+mod membership;
+mod route;
+mod session;
+mod statement;
+
+pub use self::admission::{PROBE, policy};
+pub use self::choice::{Candidate, choose};
+pub use self::code::Code;
+pub use self::directory::{Directory, Entry};
+pub use self::election::{Case, Claim, Stance, Vote, furthest, stance};
+pub use self::group::{Floor, Group, Own};
+pub use self::membership::{Presence, links_each, live};
+pub use self::route::{Consistency, Route, RouteTable, Routes};
+pub use self::session::{Phase, Session, Setup, Values};
+pub use self::statement::{Access, Shape, Statement};
--- /dev/null
+++ b/chervildrift_core/src/relay/route.rs
@@ -0,0 +1,106 @@
+//! Routes from database names to services, by version.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::types::{Kind, Rank, Service};
+
+/// What a read of a route must see.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Consistency {
+    /// Every commit that was acknowledged before.
+    Primary,
+    /// Every commit that was acknowledged longer than this ago.
+    Bounded(Duration),
+    /// As `Bounded`, and every commit of its own session.
+    Session(Duration),
+}
+
+/// A route from a database name to a service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Route {
+    /// Kind of work, which is the name of the route.
+    pub kind: Kind,
+    /// Name of the database that callers ask for.
+    pub database: Box<str>,
+    /// Service that runs the statements.
+    pub service: Service,
+    /// What reads must see.
+    pub consistency: Consistency,
+    /// Rank of the work.
+    pub rank: Rank,
+    /// Limit of a single statement.
+    pub timeout: Duration,
+    /// Objective for the time of a whole operation.
+    pub target: Duration,
+}
+
+/// One version of all routes.
+#[derive(Clone, Debug, Default)]
+pub struct Routes {
+    /// Version; a greater one is newer.
+    pub version: u64,
+    /// Routes.
+    pub routes: Vec<Arc<Route>>,
+    /// Connections that one upstream of a service takes from all callers together.
+    pub connections: HashMap<Service, usize>,
+    /// Time after which an idle transaction may be ended.
+    pub idle: Option<Duration>,
+}
+
+/// The newest version of all routes, by database name.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    current: Routes,
+    by_database: HashMap<Box<str>, Arc<Route>>,
+}
+
+impl RouteTable {
+    /// Takes in a version; false if it is not newer than the current one.
+    pub fn apply(&mut self, routes: Routes) -> bool {
+        if routes.version <= self.current.version {
+            return false;
+        }
+        let named = |route: &Arc<Route>| (route.database.clone(), Arc::clone(route));
+        self.by_database = routes.routes.iter().map(named).collect();
+        self.current = routes;
+        true
+    }
+
+    /// Returns the version, or 0 before the first one.
+    #[must_use]
+    pub const fn version(&self) -> u64 {
+        self.current.version
+    }
+
+    /// Returns the route of a database.
+    #[must_use]
+    pub fn find(&self, database: &str) -> Option<&Arc<Route>> {
+        self.by_database.get(database)
+    }
+
+    /// Returns the routes to a service.
+    pub fn of<'a>(&'a self, service: &'a Service) -> impl Iterator<Item = &'a Arc<Route>> {
+        let routes = self.current.routes.iter();
+        routes.filter(move |route| route.service == *service)
+    }
+
+    /// Returns the services that any route leads to.
+    #[must_use]
+    pub fn services(&self) -> Vec<Service> {
+        self.current.connections.keys().cloned().collect()
+    }
+
+    /// Returns the connections that one upstream of a service takes.
+    #[must_use]
+    pub fn connections(&self, service: &Service) -> Option<usize> {
+        self.current.connections.get(service).copied()
+    }
+
+    /// Returns the time after which an idle transaction may be ended.
+    #[must_use]
+    pub const fn idle(&self) -> Option<Duration> {
+        self.current.idle
+    }
+}
--- /dev/null
+++ b/chervildrift_core/src/relay/session.rs
@@ -0,0 +1,102 @@
+//! One caller's session: its values, prepared statements and transaction.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use smallvec::SmallVec;
+
+use super::group::Own;
+use super::statement::{Access, Shape};
+
+/// Values of a session by name.
+pub type Values = BTreeMap<Box<str>, Box<str>>;
+
+/// Where a session stands between two requests.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Phase {
+    /// Outside a transaction.
+    #[default]
+    Idle,
+    /// Inside a transaction.
+    Open(Access),
+    /// Inside a transaction that has failed; only its end is accepted.
+    Failed,
+}
+
+/// A step that brings an upstream connection to the state that a session needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Setup<'a> {
+    /// Clears all values and prepared statements of the connection.
+    Reset,
+    /// Sets a value.
+    Set(&'a str, &'a str),
+    /// Prepares a shape under its own name.
+    Prepare(&'a Shape),
+}
+
+/// One caller's session.
+#[derive(Clone, Debug, Default)]
+pub struct Session {
+    /// Where the session stands.
+    pub phase: Phase,
+    /// Newest commit of the session by service.
+    pub own: Option<Own>,
+    values: Values,
+    prepared: HashMap<Box<str>, Shape>,
+}
+
+impl Session {
+    /// Sets a value.
+    pub fn set(&mut self, name: &str, value: &str) {
+        self.values.insert(name.into(), value.into());
+    }
+
+    /// Prepares a statement, in place of one with the same name.
+    pub fn prepare(&mut self, name: &str, shape: Shape) {
+        self.prepared.insert(name.into(), shape);
+    }
+
+    /// Forgets a prepared statement; false if there is none.
+    pub fn deallocate(&mut self, name: &str) -> bool {
+        self.prepared.remove(name).is_some()
+    }
+
+    /// Returns a prepared statement.
+    #[must_use]
+    pub fn shape(&self, name: &str) -> Option<&Shape> {
+        self.prepared.get(name)
+    }
+
+    /// Returns the values.
+    #[must_use]
+    pub const fn values(&self) -> &Values {
+        &self.values
+    }
+
+    /// Returns the steps after which a connection with these values and prepared names may run a
+    /// statement of the session.
+    #[must_use]
+    pub fn setup<'a>(
+        &'a self,
+        values: &Values,
+        prepared: &HashSet<Box<str>>,
+        shape: Option<&'a Shape>,
+    ) -> SmallVec<[Setup<'a>; 4]> {
+        let mut steps = SmallVec::new();
+        // A value can't be unset alone, so one that the session lacks takes a reset.
+        let reset = values.keys().any(|name| !self.values.contains_key(name));
+        if reset {
+            steps.push(Setup::Reset);
+        }
+        for (name, value) in &self.values {
+            if reset || values.get(name) != Some(value) {
+                steps.push(Setup::Set(name, value));
+            }
+        }
+        if let Some(shape) = shape
+            && (reset || !prepared.contains(&shape.name))
+        {
+            steps.push(Setup::Prepare(shape));
+        }
+        steps
+    }
+}
