Close idle upstream connections and shrink the limit on a refusal

Change: idle connections are closed after 2 s; a refusal lowers the VM's limit to what it holds, and it rises by one each 200 ms. Conclusion: kept at the VM's share, without borrowing.

--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use chervildrift_core::relay::{Code, Session, Setup, Shape, Values};
@@ -78,6 +79,8 @@
     state: State,
     /// When the last answer came.
     pub used: Time,
+    /// Counts this connection among those of its pool.
+    _tally: Rc<()>,
 }
 
 impl Link {
@@ -86,6 +89,7 @@
         address: SocketAddr,
         service: &Service,
         upstream: &Upstream,
+        tally: Rc<()>,
     ) -> Result<(Self, Duration), LinkError> {
         let asked = clock::now();
         let connect = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
@@ -109,6 +113,7 @@
             pending: 1,
             state: State::Idle,
             used: asked,
+            _tally: tally,
         };
         let mut out = String::new();
         encode_start(service.as_str(), upstream, &mut out);
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chervildrift_core::dispatch::{Finish, Job, JobId, Policy, Refusal, Scheduler};
-use chervildrift_core::relay::{Entry, Session, Shape};
+use chervildrift_core::relay::{Code, Entry, LinkLimit, Session, Shape};
 use chervildrift_core::types::{Caller, Kind, Rank, Time};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -14,6 +14,9 @@
 use super::clock;
 use super::link::{Link, LinkError};
 
+/// Time after which an idle connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Shared connections to one upstream.
 #[derive(Debug)]
 pub(super) struct Pool {
@@ -21,8 +24,11 @@
     scheduler: RefCell<Scheduler>,
     waiting: RefCell<HashMap<JobId, oneshot::Sender<Lease>>>,
     idle: RefCell<Vec<Link>>,
-    /// Greatest number of connections.
-    links: Cell<usize>,
+    /// Rules but for the number of connections, which the limit decides.
+    policy: RefCell<Policy>,
+    limit: Cell<LinkLimit>,
+    /// Counts the connections that are open or being opened, each of which holds a clone.
+    tally: Rc<()>,
     next: Cell<u64>,
     /// Time of a message there and back, once a connection was made.
     distance: Cell<Option<Duration>>,
@@ -56,20 +62,25 @@
 }
 
 impl Pool {
-    /// Opens a pool without connections.
+    /// Opens a pool without connections; the policy's slots are this VM's share of them.
     pub(super) fn open(entry: Entry, policy: &Policy) -> Rc<Self> {
-        Rc::new(Self {
+        let limit = LinkLimit::open(policy.slots);
+        let pool = Rc::new(Self {
             entry: RefCell::new(entry),
             scheduler: RefCell::new(Scheduler::open(policy)),
+            policy: RefCell::new(policy.clone()),
+            limit: Cell::new(limit),
+            tally: Rc::new(()),
             waiting: RefCell::default(),
             idle: RefCell::default(),
-            links: Cell::new(policy.slots),
             next: Cell::new(0),
             distance: Cell::new(None),
             lagged: Cell::new(None),
             failed: Cell::new(None),
             retired: Cell::new(false),
-        })
+        });
+        pool.apply_limit();
+        pool
     }
 
     /// Takes in a changed entry; connections to an earlier process are closed.
@@ -79,28 +90,71 @@
             old.address != entry.address || old.born != entry.born
         };
         if moved {
-            self.idle.borrow_mut().clear();
+            self.keep_idle(|_| false);
         }
         self.entry.replace(entry.clone());
     }
 
     /// Takes in changed rules.
     pub(super) fn apply(self: &Rc<Self>, policy: &Policy) {
-        self.links.set(policy.slots);
-        self.idle.borrow_mut().truncate(policy.slots);
-        self.scheduler.borrow_mut().apply(clock::now(), policy);
+        let mut limit = self.limit.get();
+        limit.resize(policy.slots);
+        self.limit.set(limit);
+        self.policy.replace(policy.clone());
+        self.apply_limit();
         self.pump();
     }
 
+    /// Lets as many statements run as connections may be held.
+    fn apply_limit(&self) {
+        let mut policy = self.policy.borrow_mut();
+        policy.slots = self.limit.get().get();
+        self.scheduler.borrow_mut().apply(clock::now(), &policy);
+    }
+
+    /// Raises the limit again some time after a refusal.
+    fn recover(&self) {
+        let mut limit = self.limit.get();
+        if limit.recover(clock::now()) {
+            self.limit.set(limit);
+            self.apply_limit();
+        }
+    }
+
+    /// Takes in that the upstream takes no more connections.
+    fn note_overload(&self) {
+        let mut limit = self.limit.get();
+        limit.refuse(clock::now(), self.open_links());
+        self.limit.set(limit);
+        self.apply_limit();
+    }
+
+    /// Closes connections that have been idle for long.
+    ///
+    /// Connections of a lost VM linger at the upstream, so idle ones keep others from it.
+    pub(super) fn close_idle(&self) {
+        let now = clock::now();
+        self.keep_idle(|link| now.since(link.used) < IDLE_LIMIT);
+    }
+
+    fn keep_idle(&self, keep: impl Fn(&Link) -> bool) {
+        self.idle.borrow_mut().retain(keep);
+    }
+
+    /// Returns the number of connections that are open or being opened.
+    fn open_links(&self) -> usize {
+        Rc::strong_count(&self.tally) - 1
+    }
+
     /// Closes the pool's idle connections and all others as they come back.
     pub(super) fn retire(&self) {
         self.retired.set(true);
-        self.idle.borrow_mut().clear();
+        self.keep_idle(|_| false);
     }
 
     /// Closes idle connections that have not been used since.
     pub(super) fn distrust(&self, since: Time) {
-        self.idle.borrow_mut().retain(|link| link.used >= since);
+        self.keep_idle(|link| link.used >= since);
     }
 
     /// Returns the time of a message there and back.
@@ -119,6 +173,7 @@
         let id = JobId(self.next.replace(self.next.get() + 1));
         let (sender, receiver) = oneshot::channel();
         let limit = demand.deadline.since(now);
+        self.recover();
         let job = Job {
             id,
             kind: demand.kind,
@@ -161,11 +216,12 @@
     }
 
     fn take_back(self: &Rc<Self>, id: JobId, link: Option<Link>, finish: Finish) {
-        if let Some(link) = link.filter(Link::is_clean) {
-            let mut idle = self.idle.borrow_mut();
-            if !self.retired.get() && idle.len() < self.links.get() {
-                idle.push(link);
-            }
+        let room = self.open_links() <= self.limit.get().get();
+        if let Some(link) = link.filter(Link::is_clean)
+            && room
+            && !self.retired.get()
+        {
+            self.idle.borrow_mut().push(link);
         }
         let now = clock::now();
         self.scheduler.borrow_mut().finish(now, id, finish);
@@ -204,7 +260,12 @@
             let entry = self.pool.entry.borrow();
             (entry.address, entry.service.clone(), entry.upstream.clone())
         };
-        let (link, took) = Link::open(address, &service, &upstream).await?;
+        let tally = Rc::clone(&self.pool.tally);
+        let opened = Link::open(address, &service, &upstream, tally).await;
+        if let Err(LinkError::Refused(Code::Overloaded, _)) = &opened {
+            self.pool.note_overload();
+        }
+        let (link, took) = opened?;
         let known = self.pool.distance.get();
         self.pool
             .distance
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -166,7 +166,14 @@
             deadline,
         };
         let lease = pool.acquire(demand).await;
-        lease.map_err(|refusal| Failure::new(Code::Busy, refusal.to_string()))
+        lease.map_err(|refusal| {
+            let role = if target.floor == Floor::Leader {
+                "primary"
+            } else {
+                "replica"
+            };
+            Failure::new(Code::Busy, format!("{role} {}: {refusal}", target.upstream))
+        })
     }
 
     /// Takes in that a leader has answered.
--- a/chervildrift/src/relay/watch.rs
+++ b/chervildrift/src/relay/watch.rs
@@ -140,11 +140,14 @@
     entry
 }
 
-/// Forgets upstreams whose entries have gone.
+/// Forgets upstreams whose entries have gone, and closes idle connections to the others.
 pub(super) async fn expire(node: Rc<Node>) {
     loop {
         sleep(EXPIRY).await;
         let gone = node.directory.borrow_mut().expire(clock::now());
         node.forget(&gone);
+        for pool in node.pools.borrow().values() {
+            pool.close_idle();
+        }
     }
 }
