Wait for a first sample of the leader's log, and estimate without connection times

Cause: after the closing faults all reads went to the leaders until a sample of their log was there, and the time of opening connections entered the estimates of service times, so that work was refused as too late. Change: a read that replicas may serve waits up to 300 ms for a first sample; leases that opened a connection do not teach the estimates; the deadline of admission is the longer of the route's objective and its limit.

--- a/chervildrift/src/relay/keeper.rs
+++ b/chervildrift/src/relay/keeper.rs
@@ -22,7 +22,7 @@
 use super::pool::Demand;
 
 /// Interval at which the services are looked at.
-const TICK: Duration = Duration::from_millis(100);
+const TICK: Duration = Duration::from_millis(50);
 
 /// Gap between two looks from which this VM must have stood still.
 const STALL: Duration = Duration::from_millis(700);
@@ -139,12 +139,14 @@
         return;
     };
     match (begin.result, begin.mark) {
-        (Ok(_), Some(mark)) => node.with_group(service, |group| {
-            if group.leader().is_none() {
-                node.set_leader(group, service, upstream, "probed");
-            }
-            group.sample(clock::now(), asked, upstream, mark);
-        }),
+        (Ok(_), Some(mark)) => {
+            node.with_group(service, |group| {
+                if group.leader().is_none() {
+                    node.set_leader(group, service, upstream, "probed");
+                }
+            });
+            node.take_sample(service, upstream, asked, mark);
+        }
         (Err((Code::ReadOnly, _)), _) => node.refused_lead(service, upstream),
         _ => {}
     }
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -11,7 +11,7 @@
 use chervildrift_core::relay::{
     Code, Directory, Entry, Group, RouteTable, Routes, links_each, policy,
 };
-use chervildrift_core::types::{Service, Upstream, Zone};
+use chervildrift_core::types::{Mark, Service, Time, Upstream, Zone};
 use chervildrift_platform::promotion::Promotions;
 use chervildrift_platform::store::Store;
 use slog::{Logger, info};
@@ -152,6 +152,24 @@
         self.follow_reports(service);
     }
 
+    /// Takes in a position that an upstream showed as leader.
+    pub(super) fn take_sample(
+        &self,
+        service: &Service,
+        upstream: &Upstream,
+        asked: Time,
+        mark: Mark,
+    ) {
+        let first = self.with_group(service, |group| {
+            let first = group.newest().is_none();
+            group.sample(clock::now(), asked, upstream, mark);
+            first && group.newest().is_some()
+        });
+        if first {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// Runs a function on a group.
     pub(super) fn with_group<T>(&self, service: &Service, run: impl FnOnce(&mut Group) -> T) -> T {
         run(self.groups.borrow_mut().entry(service.clone()).or_default())
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -57,8 +57,9 @@
     pool: Rc<Pool>,
     id: JobId,
     link: Option<Link>,
-    /// How the work ended, which the estimates of service times follow.
-    pub finish: Finish,
+    /// Whether the connection was opened for this work, whose time then says little.
+    opened: bool,
+    finish: Finish,
 }
 
 impl Pool {
@@ -207,6 +208,7 @@
                 pool: Rc::clone(self),
                 id,
                 link: None,
+                opened: false,
                 finish: Finish::Abandoned,
             };
             let sender = self.waiting.borrow_mut().remove(&id);
@@ -250,7 +252,10 @@
         }
         let link = match self.link.take() {
             Some(link) => link,
-            None => self.connect().await?,
+            None => {
+                self.opened = true;
+                self.connect().await?
+            }
         };
         Ok(self.link.insert(link))
     }
@@ -273,6 +278,13 @@
         Ok(link)
     }
 
+    /// Notes how the work ended, which the estimates of service times follow.
+    pub(super) const fn conclude(&mut self, finish: Finish) {
+        if !self.opened {
+            self.finish = finish;
+        }
+    }
+
     /// Returns the open connection.
     pub(super) const fn open_link(&mut self) -> Option<&mut Link> {
         self.link.as_mut()
--- a/chervildrift/src/relay/presence.rs
+++ b/chervildrift/src/relay/presence.rs
@@ -24,7 +24,7 @@
 const SETTLE: Duration = Duration::from_millis(1_500);
 
 /// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(1_000);
+const PAUSE: Duration = Duration::from_secs(1);
 
 /// Keeps the record until the process ends.
 pub(super) async fn keep(node: Rc<Node>) {
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -13,7 +13,7 @@
 use chervildrift_core::types::{Caller, Mark, Time, Upstream};
 use chervildrift_platform::wire::Command;
 use smallvec::SmallVec;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::answer::{Answer, Failure};
 use super::clock;
@@ -28,6 +28,9 @@
 /// Pause before a try after an upstream had no room or no leader was found.
 const PAUSE: Duration = Duration::from_millis(25);
 
+/// Wait for a sample of the leader's log; several ways between regions and one probe.
+const SAMPLE_WAIT: Duration = Duration::from_millis(300);
+
 /// Part of a statement's limit that one try of a read may take, so that another one is left.
 const READ_PART: f64 = 0.6;
 
@@ -89,10 +92,11 @@
         if self.tries > TRIES {
             return Err(Failure::new(Code::Busy, "too many tries"));
         }
-        if access == Access::Read
-            && let Some(target) = self.replica(session)
-        {
-            return Ok(target);
+        if access == Access::Read {
+            self.await_sample().await;
+            if let Some(target) = self.replica(session) {
+                return Ok(target);
+            }
         }
         let upstream = self.node.leader(&self.route.service, self.left()).await?;
         Ok(Target {
@@ -101,6 +105,36 @@
         })
     }
 
+    /// Waits for a sample of the leader's log that replicas can be measured by.
+    ///
+    /// After a start or a failover there is none for a moment, in which all reads would go to the
+    /// leader.
+    async fn await_sample(&self) {
+        let Some(bound) = staleness(self.route) else {
+            return;
+        };
+        let service = &self.route.service;
+        let has_sample = || {
+            self.node.with_group(service, |group| {
+                group.age(clock::now()).is_some_and(|age| age < bound)
+            })
+        };
+        if has_sample() {
+            return;
+        }
+        let wait = async {
+            loop {
+                let changed = self.node.changed.notified();
+                if has_sample() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // Without a sample in time the read goes to the leader, which is correct but slower.
+        let _sampled = timeout(SAMPLE_WAIT.min(self.left()), wait).await;
+    }
+
     /// Returns the time for which the statement may still be held.
     fn left(&self) -> Duration {
         let hold = Duration::from_millis(self.node.settings.hold_ms);
@@ -158,8 +192,9 @@
             return Err(Failure::new(Code::Busy, "the upstream has gone"));
         };
         let now = clock::now();
-        // A statement that was held for a leader gets part of its objective once more.
-        let deadline = (self.started + self.route.target).max(now + self.route.target / 2);
+        let span = self.route.target.max(self.route.timeout);
+        // A statement that was held for a leader gets part of its time once more.
+        let deadline = (self.started + span).max(now + span / 2);
         let demand = Demand {
             kind: self.route.kind.clone(),
             caller: self.caller.clone(),
@@ -181,9 +216,8 @@
         if target.floor == Floor::Leader
             && let Some(mark) = mark
         {
-            self.node.with_group(&self.route.service, |group| {
-                group.sample(clock::now(), asked, &target.upstream, mark);
-            });
+            self.node
+                .take_sample(&self.route.service, &target.upstream, asked, mark);
         }
     }
 
@@ -301,11 +335,11 @@
     };
     let asked = clock::now();
     let ran = link.run_for(session, single.shape, commands, limit).await;
-    lease.finish = if ran.is_ok() {
+    lease.conclude(if ran.is_ok() {
         Finish::Done
     } else {
         Finish::Failed
-    };
+    });
     drop(lease);
     let replies = match ran {
         Ok(replies) => replies,
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -160,12 +160,11 @@
         mark: Option<Mark>,
     ) {
         let Some(place) = &self.place else { return };
-        self.node.with_group(&self.route.service, |group| {
-            if let Some(mark) = mark {
-                group.sample(clock::now(), asked, &place.upstream, mark);
-            }
-            session.own = Some(group.own(mark));
-        });
+        let service = &self.route.service;
+        if let Some(mark) = mark {
+            self.node.take_sample(service, &place.upstream, asked, mark);
+        }
+        session.own = Some(self.node.with_group(service, |group| group.own(mark)));
     }
 
     async fn exchange(
