Replace leaders that are unknown or whose entry lapsed; ask for proof of reports

Change: a service without a leader for 2 s is treated as one whose leader is dead; a leader whose entry has been gone for 2.2 s is replaced as one that leaves; while the leader answers, another one has to take a begin first.

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -37,7 +37,7 @@
 struct Replacement<'a> {
     node: &'a Rc<Node>,
     service: &'a Service,
-    leader: &'a Upstream,
+    leader: Option<&'a Upstream>,
     planned: bool,
     started: Time,
     voted: Option<Time>,
@@ -51,7 +51,12 @@
 }
 
 /// Replaces a leader, or returns once there is no more reason to.
-pub(super) async fn run(node: &Rc<Node>, service: &Service, leader: &Upstream, planned: bool) {
+pub(super) async fn run(
+    node: &Rc<Node>,
+    service: &Service,
+    leader: Option<&Upstream>,
+    planned: bool,
+) {
     let Some(promotions) = node.promotions.clone() else {
         return;
     };
@@ -64,7 +69,7 @@
         voted: None,
     };
     info!(node.log, "leader to be replaced"; "event" => "failover", "service" => %service,
-        "leader" => %leader, "planned" => planned);
+        "leader" => leader.map(Upstream::as_str), "planned" => planned);
     while replacement.is_due() {
         match replacement.step(&promotions).await {
             Ok(pause) => sleep(pause).await,
@@ -81,12 +86,11 @@
     fn is_due(&self) -> bool {
         let now = clock::now();
         let (current, suspected) = self.node.with_group(self.service, |group| {
-            (group.leader() == Some(self.leader), group.suspects(now))
+            (group.leader() == self.leader, group.suspects(now))
         });
         let directory = self.node.directory.borrow();
-        let entry = directory.get(self.leader);
-        let draining = entry.is_some_and(|entry| entry.draining);
-        current && (suspected || (self.planned && draining))
+        let leaves = self.leader.is_some_and(|it| directory.leaves(now, it));
+        current && (suspected || (self.planned && leaves))
     }
 
     /// Takes one step and returns the pause before the next one.
@@ -152,7 +156,7 @@
         let key = format!("vote/{}/{vm}", self.service);
         let vote = Vote {
             vm: vm.clone(),
-            leader: self.leader.clone(),
+            leader: self.leader.cloned(),
             at: store_ms,
         };
         let value = serde_json::to_vec(&vote).unwrap_or_default();
@@ -169,7 +173,7 @@
             vm: self.node.settings.vm.clone(),
             boot: self.node.boot,
             token,
-            replaces: self.leader.clone(),
+            replaces: self.leader.cloned(),
             at: store_ms,
         };
         let value = serde_json::to_vec(&claim).unwrap_or_default();
@@ -204,7 +208,7 @@
             let order = promotions.promote(self.service, &target, vm, token).await;
             info!(self.node.log, "promotion ordered"; "event" => "failover",
                 "service" => %self.service, "upstream" => %target, "token" => token,
-                "replaces" => %self.leader, "attempt" => attempt,
+                "replaces" => self.leader.map(Upstream::as_str), "attempt" => attempt,
                 "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
             match order {
                 Ok(()) | Err(OrderError::Conflict | OrderError::Rejected(_)) => return,
@@ -219,7 +223,7 @@
             let directory = self.node.directory.borrow();
             let entries = directory.of(self.service);
             let usable = entries.filter(|it| {
-                it.upstream != *self.leader && !it.draining && it.role == Role::Replica
+                self.leader != Some(&it.upstream) && !it.draining && it.role == Role::Replica
             });
             usable.map(|it| it.upstream.clone()).collect()
         };
--- a/chervildrift/src/relay/keeper.rs
+++ b/chervildrift/src/relay/keeper.rs
@@ -68,24 +68,28 @@
     let (leader, age, suspected) = node.with_group(service, |group| {
         (group.leader().cloned(), group.age(now), group.suspects(now))
     });
-    let Some(leader) = leader else {
-        let known: Vec<Upstream> = {
-            let directory = node.directory.borrow();
-            directory
-                .of(service)
-                .map(|it| it.upstream.clone())
-                .collect()
-        };
-        for upstream in known {
-            probe(node, running, service, upstream);
+    match &leader {
+        Some(leader) if age.is_none_or(|age| age >= SAMPLE_AGE) => {
+            probe(node, running, service, leader.clone());
         }
-        return;
-    };
-    if age.is_none_or(|age| age >= SAMPLE_AGE) {
-        probe(node, running, service, leader.clone());
+        Some(_) => {}
+        None => {
+            node.with_group(service, |group| group.note_absence(now));
+            let known: Vec<Upstream> = {
+                let directory = node.directory.borrow();
+                let entries = directory.of(service);
+                entries.map(|it| it.upstream.clone()).collect()
+            };
+            for upstream in known {
+                probe(node, running, service, upstream);
+            }
+        }
+    }
+    if let Some(challenger) = node.challenger(service) {
+        probe(node, running, service, challenger);
     }
-    let entry = node.directory.borrow().get(&leader).cloned();
-    let planned = entry.is_some_and(|entry| entry.draining);
+    let leaves = |leader: &Upstream| node.directory.borrow().leaves(now, leader);
+    let planned = leader.as_ref().is_some_and(leaves);
     if planned || suspected {
         replace(node, running, service, leader, planned);
     }
@@ -140,10 +144,9 @@
     };
     match (begin.result, begin.mark) {
         (Ok(_), Some(mark)) => {
+            // Only a leader takes the begin, whatever else is reported.
             node.with_group(service, |group| {
-                if group.leader().is_none() {
-                    node.set_leader(group, service, upstream, "probed");
-                }
+                node.set_leader(group, service, upstream, "probed");
             });
             node.take_sample(service, upstream, asked, mark);
         }
@@ -166,7 +169,7 @@
     node: &Rc<Node>,
     running: &Rc<std::cell::RefCell<Running>>,
     service: &Service,
-    leader: Upstream,
+    leader: Option<Upstream>,
     planned: bool,
 ) {
     let mut running = running.borrow_mut();
@@ -176,7 +179,7 @@
     }
     let (node, busy, service) = (Rc::clone(node), Rc::clone(busy), service.clone());
     tokio::task::spawn_local(async move {
-        failover::run(&node, &service, &leader, planned).await;
+        failover::run(&node, &service, leader.as_ref(), planned).await;
         busy.set(false);
     });
 }
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -106,23 +106,34 @@
         }
     }
 
-    /// Takes the upstream that reports itself as primary for the leader, unless it has refused.
+    /// Takes the upstream that reports itself as primary for the leader if there is none that
+    /// answers.
     pub(super) fn follow_reports(&self, service: &Service) {
-        let directory = self.directory.borrow();
-        let Some(entry) = directory.reported_primary(service) else {
+        let Some(reporter) = self.challenger(service) else {
             return;
         };
         let mut groups = self.groups.borrow_mut();
         let group = groups.entry(service.clone()).or_default();
-        let newer = group
-            .leader()
-            .and_then(|leader| directory.get(leader))
-            .is_none_or(|leader| entry.version > leader.version);
-        if newer && !group.has_refused(&entry.upstream, entry.version) {
-            self.set_leader(group, service, &entry.upstream, "reported");
+        if !group.is_settled(clock::now()) {
+            self.set_leader(group, service, &reporter, "reported");
         }
     }
 
+    /// Returns the upstream that last reported itself as primary, if it is not the leader and has
+    /// not refused to lead since.
+    pub(super) fn challenger(&self, service: &Service) -> Option<Upstream> {
+        let directory = self.directory.borrow();
+        let entry = directory.reported_primary(service)?;
+        let leader = self.with_group(service, |group| {
+            let refused = group.has_refused(&entry.upstream, entry.version);
+            (!refused).then(|| group.leader().cloned())
+        })?;
+        let newer = leader
+            .and_then(|leader| directory.get(&leader))
+            .is_none_or(|leader| entry.version > leader.version);
+        newer.then(|| entry.upstream.clone())
+    }
+
     /// Takes an upstream for the leader.
     pub(super) fn set_leader(
         &self,
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -159,7 +159,7 @@
         let directory = self.node.directory.borrow();
         let mut candidates: SmallVec<[Candidate; 4]> = SmallVec::new();
         for entry in directory.of(service) {
-            if entry.draining || self.lagging.contains(&entry.upstream) {
+            if directory.leaves(now, &entry.upstream) || self.lagging.contains(&entry.upstream) {
                 continue;
             }
             let Some(pool) = self.node.pool(&entry.upstream) else {
--- a/chervildrift_core/src/relay/directory.rs
+++ b/chervildrift_core/src/relay/directory.rs
@@ -8,9 +8,15 @@
 
 /// Time for which an upstream is kept after its entry has gone.
 ///
+/// It lies below the time in which an upstream that has gone must get no more work, and leaves room
+/// to replace one that leads.
+const LAPSE_GRACE: Duration = Duration::from_millis(4_500);
+
+/// Time after which an upstream whose entry has gone counts as leaving.
+///
 /// Entries that lapsed while the platform's store was away are back within two seconds of its
-/// return; half a second more covers the way of the news.
-const LAPSE_GRACE: Duration = Duration::from_millis(2_500);
+/// return.
+const LAPSE_LEAVING: Duration = Duration::from_millis(2_200);
 
 /// An upstream as the platform lists it.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -85,6 +91,14 @@
         gone
     }
 
+    /// Tells whether an upstream leaves: it says so, or its entry has been gone for a while.
+    #[must_use]
+    pub fn leaves(&self, now: Time, upstream: &Upstream) -> bool {
+        let draining = self.get(upstream).is_some_and(|entry| entry.draining);
+        let lapsed = self.lapsed.get(upstream);
+        draining || lapsed.is_some_and(|at| now.since(*at) >= LAPSE_LEAVING)
+    }
+
     /// Returns the entry of an upstream.
     #[must_use]
     pub fn get(&self, upstream: &Upstream) -> Option<&Entry> {
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -21,13 +21,13 @@
 /// Time that each VM waits longer than the one before it in the service's order.
 const STAGGER: Duration = Duration::from_millis(300);
 
-/// A VM's word that the leader of a service does not answer.
+/// A VM's word that a service needs another leader.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Vote {
     /// VM that votes.
     pub vm: Vm,
-    /// Leader that does not answer.
-    pub leader: Upstream,
+    /// Leader that does not answer, or none if none is known.
+    pub leader: Option<Upstream>,
     /// Time of the platform's store at the vote, in milliseconds.
     pub at: u64,
 }
@@ -41,8 +41,8 @@
     pub boot: u64,
     /// Fencing token; a greater one belongs to a later claim.
     pub token: u64,
-    /// Leader that is to be replaced.
-    pub replaces: Upstream,
+    /// Leader that is to be replaced, if one is known.
+    pub replaces: Option<Upstream>,
     /// Time of the platform's store at the claim, in milliseconds.
     pub at: u64,
 }
@@ -61,8 +61,8 @@
 /// What is known of a service whose leader is to be replaced.
 #[derive(Clone, Copy, Debug)]
 pub struct Case<'a> {
-    /// Leader to be replaced.
-    pub leader: &'a Upstream,
+    /// Leader to be replaced, if one is known.
+    pub leader: Option<&'a Upstream>,
     /// Whether it leaves as planned, for which no votes are needed.
     pub planned: bool,
     /// VMs that run, in the order of their names.
@@ -89,7 +89,11 @@
         return Stance::Wait;
     }
     if !case.planned {
-        let counts = |vote: &&Vote| vote.leader == *case.leader && age(vote.at) < VOTE_KEPT;
+        // A VM that knows no leader agrees with any VM that misses one.
+        let agrees = |vote: &Vote| {
+            vote.leader.is_none() || case.leader.is_none() || vote.leader.as_ref() == case.leader
+        };
+        let counts = |vote: &&Vote| agrees(vote) && age(vote.at) < VOTE_KEPT;
         let votes = case.votes.iter().filter(counts).count();
         if votes * 2 <= case.live.len() {
             return Stance::Wait;
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -26,6 +26,9 @@
 /// At 600 ms no false change was seen at 15% lost and 30% late reads (docs/decisions.md).
 const SUSPECT_SILENCE: Duration = Duration::from_millis(600);
 
+/// Time without a leader after which one has to be made; a promotion that is under way takes less.
+const LEADERLESS: Duration = Duration::from_secs(2);
+
 /// A position of the leader's log and when it was asked for.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
@@ -60,6 +63,8 @@
     /// When the leader last answered, or became leader.
     heard: Time,
     misses: u32,
+    /// Since when there has been no leader, once that was noticed.
+    lost: Option<Time>,
     /// Upstreams that refused to lead, with the version of their entry then.
     refused: Vec<(Upstream, u64)>,
 }
@@ -87,6 +92,7 @@
         self.samples.clear();
         self.heard = now;
         self.misses = 0;
+        self.lost = None;
         self.refused.retain(|(name, _)| name != upstream);
         true
     }
@@ -144,14 +150,29 @@
     pub const fn doubt(&mut self, now: Time) {
         self.heard = now;
         self.misses = 0;
+        self.lost = None;
+    }
+
+    /// Notes that there is no leader now.
+    pub fn note_absence(&mut self, now: Time) {
+        if self.leader.is_none() {
+            self.lost.get_or_insert(now);
+        }
     }
 
-    /// Tells whether the leader seems to be dead.
+    /// Tells whether a leader has to be made, since it seems to be dead or there has been none.
     #[must_use]
     pub fn suspects(&self, now: Time) -> bool {
-        self.leader.is_some()
-            && self.misses >= SUSPECT_MISSES
-            && now.since(self.heard) >= SUSPECT_SILENCE
+        if self.leader.is_none() {
+            return self.lost.is_some_and(|lost| now.since(lost) >= LEADERLESS);
+        }
+        self.misses >= SUSPECT_MISSES && now.since(self.heard) >= SUSPECT_SILENCE
+    }
+
+    /// Tells whether the leader has answered lately, so that only a proof makes another one leader.
+    #[must_use]
+    pub fn is_settled(&self, now: Time) -> bool {
+        self.leader.is_some() && now.since(self.heard) < SUSPECT_SILENCE
     }
 
     /// Returns the age of the newest sample.
