Acknowledge a commit once a replica has received it

Cause: the platform's databases acknowledge at the primary alone, so a promotion loses what no replica has received; the product promises that nothing confirmed is lost at a failover. Change: before a commit is acknowledged, one replica has to show its position, within confirm_ms (300 ms); a commit that nobody confirmed is logged, and one whose leader was replaced meanwhile is in doubt.

--- /dev/null
+++ b/chervildrift/src/relay/confirm.rs
@@ -0,0 +1,160 @@
+//! Confirmation of commits by a replica.
+//!
+//! A commit that only the primary has is lost if the primary is. Before a commit is acknowledged,
+//! one replica has to show that it has received it, so that a promotion of the furthest replica
+//! keeps it. Answers of replicas to reads show their position anyway; otherwise they are asked. The
+//! wait is bounded by the settings, and a commit that nobody confirmed is logged.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Access, Code, Session};
+use chervildrift_core::types::{Mark, Service, Upstream};
+use chervildrift_platform::wire::{Command, parse_status};
+use futures::future::join_all;
+use slog::warn;
+use tokio::time::{sleep, timeout};
+
+use super::answer::Failure;
+use super::clock;
+use super::keeper::demand;
+use super::link::Reply;
+use super::node::Node;
+
+/// Time for an upstream to tell what it has received.
+const STATUS_LIMIT: Duration = Duration::from_millis(500);
+
+/// Rounds of questions for applied positions; a replica that lags more applies late, not soon.
+const APPLIED_ROUNDS: u32 = 4;
+
+/// Pause between two questions; a commit takes about the way between regions to a replica.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// A commit that its leader has taken.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Commit<'a> {
+    /// Id of the caller's statement.
+    pub id: &'a str,
+    /// Service of the leader.
+    pub service: &'a Service,
+    /// Leader that took the commit.
+    pub leader: &'a Upstream,
+    /// Position of the commit.
+    pub mark: Mark,
+}
+
+/// Waits until a replica has received a commit; fails if the leader was replaced meanwhile.
+pub(super) async fn confirm(node: &Rc<Node>, commit: &Commit<'_>) -> Result<(), Failure> {
+    let limit = Duration::from_millis(node.settings.confirm_ms);
+    if limit.is_zero() || node.directory.borrow().of(commit.service).count() < 2 {
+        return Ok(());
+    }
+    let epoch = node.with_group(commit.service, |group| group.epoch());
+    let asked = clock::now();
+    let confirmed = timeout(limit, await_received(node, commit)).await.is_ok();
+    let (leader, now) = node.with_group(commit.service, |group| {
+        (group.leader().cloned(), group.epoch())
+    });
+    if leader.as_ref() != Some(commit.leader) || now != epoch {
+        let detail = "the primary was replaced before a replica confirmed the commit";
+        return Err(Failure::new(Code::InDoubt, detail));
+    }
+    if !confirmed {
+        warn!(node.log, "commit acknowledged by the primary alone"; "event" => "unconfirmed",
+            "request" => commit.id, "service" => %commit.service, "upstream" => %commit.leader,
+            "mark" => %commit.mark, "waited_ms" => clock::now().since(asked).as_millis() as u64);
+    }
+    Ok(())
+}
+
+async fn await_received(node: &Rc<Node>, commit: &Commit<'_>) {
+    let mut rounds = 0;
+    while !node.with_group(commit.service, |group| group.has_received(commit.mark)) {
+        let running = node.confirming.borrow_mut().insert(commit.service.clone());
+        if running {
+            let _round = Round {
+                node,
+                service: commit.service,
+            };
+            ask_replicas(node, commit, rounds).await;
+            rounds += 1;
+        } else {
+            // Another commit of the service asks already.
+            node.received.notified().await;
+        }
+    }
+}
+
+/// A round of questions, during which no other is started for the service.
+struct Round<'a> {
+    node: &'a Node,
+    service: &'a Service,
+}
+
+impl Drop for Round<'_> {
+    fn drop(&mut self) {
+        self.node.confirming.borrow_mut().remove(self.service);
+        self.node.received.notify_waiters();
+    }
+}
+
+/// Asks the replicas: first the nearest one, then all.
+///
+/// Applied positions cost an upstream nothing, so only later rounds ask for those that were received
+/// but not applied, which takes a slot.
+async fn ask_replicas(node: &Rc<Node>, commit: &Commit<'_>, rounds: u32) {
+    let mut replicas: Vec<(Duration, Upstream)> = {
+        let directory = node.directory.borrow();
+        let entries = directory.of(commit.service);
+        let replicas = entries.filter(|it| it.upstream != *commit.leader);
+        replicas
+            .filter_map(|it| {
+                let pool = node.pool(&it.upstream)?;
+                Some((node.distance(&pool, &it.zone), it.upstream.clone()))
+            })
+            .collect()
+    };
+    replicas.sort();
+    if rounds == 0 {
+        replicas.truncate(1);
+    } else {
+        sleep(PAUSE).await;
+    }
+    let asked = replicas.iter().map(|(_, upstream)| async move {
+        let mark = if rounds < APPLIED_ROUNDS {
+            applied(node, upstream).await
+        } else {
+            received(node, upstream).await
+        };
+        if let Some(mark) = mark {
+            node.with_group(commit.service, |group| group.note_received(upstream, mark));
+            node.received.notify_waiters();
+        }
+    });
+    join_all(asked).await;
+}
+
+/// Asks an upstream for the last position that it has received.
+pub(super) async fn received(node: &Rc<Node>, upstream: &Upstream) -> Option<Mark> {
+    let reply = ask(node, upstream, &[Command::Status]).await?;
+    let status = reply.rows.first().and_then(|it| parse_status(it).ok());
+    // A busy upstream tells at least what it has applied.
+    status.and_then(|status| status.received).or(reply.mark)
+}
+
+/// Asks an upstream for the last position that it has applied.
+async fn applied(node: &Rc<Node>, upstream: &Upstream) -> Option<Mark> {
+    let commands = [Command::Begin(Access::Read, None), Command::Rollback];
+    ask(node, upstream, &commands).await?.mark
+}
+
+/// Runs statements of the VM's own and returns the answer to the first one.
+async fn ask(node: &Rc<Node>, upstream: &Upstream, commands: &[Command<'_>]) -> Option<Reply> {
+    let exchange = async {
+        let mut lease = node.pool(upstream)?.acquire(demand()).await.ok()?;
+        let link = lease.link(&Session::default(), None).await.ok()?;
+        let replies = link.run(commands, STATUS_LIMIT).await.ok()?;
+        replies.into_iter().next()
+    };
+    timeout(STATUS_LIMIT, exchange).await.ok()?
+}
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -3,18 +3,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Case, Claim, Session, Stance, Vote, furthest, stance};
-use chervildrift_core::types::{Mark, Role, Service, Time, Upstream};
+use chervildrift_core::relay::{Case, Claim, Stance, Vote, furthest, stance};
+use chervildrift_core::types::{Role, Service, Time, Upstream};
 use chervildrift_platform::promotion::{Error as OrderError, Promotions};
 use chervildrift_platform::store::{Error, Listing, Transaction, Written};
-use chervildrift_platform::wire::{Command, parse_status};
 use futures::future::join_all;
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use super::clock;
-use super::keeper::demand;
+use super::confirm::received;
 use super::node::Node;
 use super::presence::{TABLE, live_vms, row};
 
@@ -30,9 +29,6 @@
 /// Pause between such tries.
 const PAUSE: Duration = Duration::from_millis(150);
 
-/// Time for an upstream to tell what it has received.
-const STATUS_LIMIT: Duration = Duration::from_millis(500);
-
 /// One replacement of a leader.
 struct Replacement<'a> {
     node: &'a Rc<Node>,
@@ -227,28 +223,16 @@
             });
             usable.map(|it| it.upstream.clone()).collect()
         };
-        let asked = replicas.iter().map(|it| self.received(it));
+        let asked = replicas.iter().map(|it| async {
+            let mark = received(self.node, it).await?;
+            Some((it.clone(), mark))
+        });
         let received: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
         info!(self.node.log, "logs compared"; "event" => "failover", "service" => %self.service,
             "received" => received.iter().map(|(it, mark)| format!("{it}={mark}"))
                 .collect::<Vec<_>>().join(" "));
         furthest(&received).cloned()
     }
-
-    async fn received(&self, upstream: &Upstream) -> Option<(Upstream, Mark)> {
-        let mark = timeout(STATUS_LIMIT, self.ask_received(upstream)).await;
-        Some((upstream.clone(), mark.ok()??))
-    }
-
-    async fn ask_received(&self, upstream: &Upstream) -> Option<Mark> {
-        let mut lease = self.node.pool(upstream)?.acquire(demand()).await.ok()?;
-        let link = lease.link(&Session::default(), None).await.ok()?;
-        let replies = link.run(&[Command::Status], STATUS_LIMIT).await.ok()?;
-        let reply = replies.first()?;
-        let status = reply.rows.first().and_then(|it| parse_status(it).ok());
-        // A busy upstream tells at least what it has applied.
-        status.and_then(|status| status.received).or(reply.mark)
-    }
 }
 
 /// Reads a record; one that can't be read counts as absent.
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod clock;
+mod confirm;
 mod error;
 mod failover;
 mod keeper;
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -1,7 +1,7 @@
 //! State of the VM, shared by its tasks on one thread.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -51,6 +51,10 @@
     pub sessions: Cell<usize>,
     /// Wakes those who wait for a leader.
     pub changed: Notify,
+    /// Services whose replicas are being asked what they have received.
+    pub confirming: RefCell<HashSet<Service>>,
+    /// Wakes those who wait for a replica to have received a commit.
+    pub received: Notify,
     pub stage: watch::Sender<Stage>,
     pub listed: Cell<bool>,
     pub ready: Arc<AtomicBool>,
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -17,6 +17,7 @@
 
 use super::answer::{Answer, Failure};
 use super::clock;
+use super::confirm::{Commit, confirm};
 use super::link::{LinkError, Reply};
 use super::node::Node;
 use super::pool::{Demand, Lease};
@@ -221,6 +222,15 @@
         }
     }
 
+    /// Takes in the position that a replica has shown.
+    fn note_received(&self, target: &Target, mark: Option<Mark>) {
+        if let (Floor::At(_), Some(mark)) = (target.floor, mark) {
+            let service = &self.route.service;
+            self.node
+                .with_group(service, |group| group.note_received(&target.upstream, mark));
+        }
+    }
+
     /// Takes in that the target did not run the statement; fails if no other try makes sense.
     pub(super) async fn refused(
         &mut self,
@@ -374,11 +384,21 @@
     let Some(reply) = replies.next() else {
         return Err(Failure::new(Code::InDoubt, "no answer"));
     };
+    turn.note_received(target, reply.mark);
     match reply.result {
         Ok(signature) => {
             if single.access == Access::Write {
                 turn.observe(target, asked, reply.mark);
                 let service = &single.route.service;
+                if let Some(mark) = reply.mark {
+                    let commit = Commit {
+                        id: single.id,
+                        service,
+                        leader: &target.upstream,
+                        mark,
+                    };
+                    confirm(single.node, &commit).await?;
+                }
                 let own = single
                     .node
                     .with_group(service, |group| group.own(reply.mark));
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -70,6 +70,8 @@
         vms: std::cell::Cell::new(DEFAULT_VMS),
         sessions: Default::default(),
         changed: Notify::new(),
+        confirming: Default::default(),
+        received: Notify::new(),
         stage: watch::Sender::new(Stage::Serving),
         listed: Default::default(),
         ready: Arc::clone(ready),
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -14,6 +14,7 @@
 
 use super::answer::{Answer, Failure};
 use super::clock;
+use super::confirm::{Commit, confirm};
 use super::link::Reply;
 use super::node::Node;
 use super::pool::Lease;
@@ -134,7 +135,17 @@
                 if self.wrote {
                     self.note_commit(session, asked, reply.mark);
                 }
-                self.place = None;
+                // The connection is free for others while the commit is confirmed.
+                let place = self.place.take().map(|place| place.upstream);
+                if let (true, Some(leader), Some(mark)) = (self.wrote, &place, reply.mark) {
+                    let commit = Commit {
+                        id,
+                        service: &self.route.service,
+                        leader,
+                        mark,
+                    };
+                    confirm(&self.node, &commit).await?;
+                }
                 let rows = reply.rows;
                 Ok(Answer::Upstream { rows, signature })
             }
--- a/chervildrift_core/src/config/relay.rs
+++ b/chervildrift_core/src/config/relay.rs
@@ -34,6 +34,10 @@
     /// Longest time that a request is held for a leader, in milliseconds.
     #[serde(default = "RelaySettings::hold_ms")]
     pub hold_ms: u64,
+    /// Longest wait for a replica to have received a commit before it is acknowledged, in
+    /// milliseconds; 0 acknowledges at the primary alone.
+    #[serde(default = "RelaySettings::confirm_ms")]
+    pub confirm_ms: u64,
     /// Logs.
     #[serde(default)]
     pub log: Log,
@@ -44,6 +48,11 @@
         6.0
     }
 
+    /// Covers several ways between regions and the wait for a slot.
+    const fn confirm_ms() -> u64 {
+        300
+    }
+
     /// Covers a failover: its detection, the votes, the order and the start of the new leader.
     const fn hold_ms() -> u64 {
         4_000
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -65,6 +65,8 @@
     misses: u32,
     /// Since when there has been no leader, once that was noticed.
     lost: Option<Time>,
+    /// Last position that each replica was seen to have received.
+    received: Vec<(Upstream, Mark)>,
     /// Upstreams that refused to lead, with the version of their entry then.
     refused: Vec<(Upstream, u64)>,
 }
@@ -90,6 +92,7 @@
         self.leader = Some(upstream.clone());
         self.epoch += 1;
         self.samples.clear();
+        self.received.clear();
         self.heard = now;
         self.misses = 0;
         self.lost = None;
@@ -206,6 +209,26 @@
         self.samples.back().map(|sample| sample.mark)
     }
 
+    /// Notes a position that a replica has received.
+    pub fn note_received(&mut self, upstream: &Upstream, mark: Mark) {
+        if self.leader.as_ref() == Some(upstream) {
+            return;
+        }
+        match self.received.iter_mut().find(|(name, _)| name == upstream) {
+            // A replica that was rolled back by a promotion shows a lower position than before.
+            Some((_, known)) => *known = mark,
+            None => self.received.push((upstream.clone(), mark)),
+        }
+    }
+
+    /// Tells whether a replica has received a position.
+    #[must_use]
+    pub fn has_received(&self, mark: Mark) -> bool {
+        self.received
+            .iter()
+            .any(|(_, received)| received.covers(mark))
+    }
+
     /// Tags the newest commit of a session.
     #[must_use]
     pub const fn own(&self, mark: Option<Mark>) -> Own {
