--- a/chervildrift/src/relay/keeper.rs
+++ b/chervildrift/src/relay/keeper.rs
@@ -123,12 +123,12 @@
     let session = Session::default();
     let link = match lease.link(&session, None).await {
         Ok(link) => link,
-        // Only the network tells that an upstream may be dead; one that refuses is not.
-        Err(LinkError::Connect(_)) => {
+        // An upstream that refuses a connection is alive.
+        Err(LinkError::Refused(..)) => return,
+        Err(_) => {
             node.with_group(service, |group| group.miss(upstream));
             return;
         }
-        Err(_) => return,
     };
     let asked = clock::now();
     let commands = [Command::Begin(Access::Write, None), Command::Rollback];
--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -24,7 +24,7 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
 /// Time for an upstream to take a connection, which waits for one of its slots.
-const OPEN_LIMIT: Duration = Duration::from_millis(1_500);
+const OPEN_LIMIT: Duration = Duration::from_secs(1);
 
 /// Time after which an idle connection is probed, and between probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -53,8 +53,8 @@
     caller: &'a Caller,
     started: Time,
     tries: u32,
-    /// Replicas that lack the needed position.
-    lagging: SmallVec<[Upstream; 4]>,
+    /// Upstreams that lacked the needed position or gave no answer.
+    avoided: SmallVec<[Upstream; 4]>,
 }
 
 /// Where a statement is tried.
@@ -74,7 +74,7 @@
             caller,
             started: clock::now(),
             tries: 0,
-            lagging: SmallVec::new(),
+            avoided: SmallVec::new(),
         }
     }
 
@@ -160,7 +160,7 @@
         let directory = self.node.directory.borrow();
         let mut candidates: SmallVec<[Candidate; 4]> = SmallVec::new();
         for entry in directory.of(service) {
-            if directory.leaves(now, &entry.upstream) || self.lagging.contains(&entry.upstream) {
+            if directory.leaves(now, &entry.upstream) || self.avoided.contains(&entry.upstream) {
                 continue;
             }
             let Some(pool) = self.node.pool(&entry.upstream) else {
@@ -168,6 +168,7 @@
             };
             candidates.push(Candidate {
                 upstream: entry.upstream.clone(),
+                leads: leader.as_ref() == Some(&entry.upstream),
                 distance: self.node.distance(&pool, &entry.zone),
                 wait: pool.wait(self.route.rank),
                 lagged: pool.lagged.get(),
@@ -175,6 +176,12 @@
             });
         }
         let chosen = choose(now, &candidates)?;
+        if chosen.failed.is_some()
+            && let Some(pool) = self.node.pool(&chosen.upstream)
+        {
+            // One read tries an upstream that had failed; the others wait for its outcome.
+            pool.failed.set(Some(now));
+        }
         // The leader needs no position, and its log may lack one that a promotion rolled back.
         let floor = if leader.as_ref() == Some(&chosen.upstream) {
             Floor::Leader
@@ -222,8 +229,11 @@
         }
     }
 
-    /// Takes in the position that a replica has shown.
-    fn note_received(&self, target: &Target, mark: Option<Mark>) {
+    /// Takes in that an upstream has answered, and the position that a replica has shown.
+    fn note_answer(&self, target: &Target, mark: Option<Mark>) {
+        if let Some(pool) = self.node.pool(&target.upstream) {
+            pool.failed.set(None);
+        }
         if let (Floor::At(_), Some(mark)) = (target.floor, mark) {
             let service = &self.route.service;
             self.node
@@ -244,7 +254,7 @@
                 .node
                 .refused_lead(&self.route.service, &target.upstream),
             Code::Lagging => {
-                self.lagging.push(target.upstream.clone());
+                self.avoided.push(target.upstream.clone());
                 if let Some(pool) = pool {
                     pool.lagged.set(Some(clock::now()));
                 }
@@ -274,6 +284,7 @@
         }
         self.node
             .with_group(&self.route.service, |group| group.miss(&target.upstream));
+        self.avoided.push(target.upstream.clone());
         if let Some(pool) = self.node.pool(&target.upstream) {
             pool.failed.set(Some(clock::now()));
             pool.distrust(asked);
@@ -384,7 +395,7 @@
     let Some(reply) = replies.next() else {
         return Err(Failure::new(Code::InDoubt, "no answer"));
     };
-    turn.note_received(target, reply.mark);
+    turn.note_answer(target, reply.mark);
     match reply.result {
         Ok(signature) => {
             if single.access == Access::Write {
--- /dev/null
+++ b/chervildrift/tests/relay_leaders.rs
@@ -0,0 +1,127 @@
+//! Changes of leader through relaying VMs: dead, leaving, replaced and unknown leaders.
+
+mod relayed;
+
+use std::time::{Duration, Instant};
+
+use chervildrift_standin::deployment::{Database, Options};
+
+use relayed::{Fleet, await_true};
+
+/// Longest gap in service at a failover, from the design's targets.
+const GAP: Duration = Duration::from_secs(3);
+
+/// Guards against a dead primary that nobody replaces, and against confirmed writes that are lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_primary() {
+    let fleet = Fleet::spawn(3, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    for round in 0..20 {
+        assert!(session.run(&format!("WRITE k{round} v")).await.is_signed());
+    }
+    fleet.platform.database.set_dark(0, true);
+    let start = Instant::now();
+    let mut gap = None;
+    while gap.is_none() && start.elapsed() < 3 * GAP {
+        if session.run("WRITE after v").await.is_signed() {
+            gap = Some(start.elapsed());
+        }
+    }
+    assert!(gap.is_some_and(|gap| gap <= GAP), "{gap:?}");
+    let mut reader = fleet.vms[1].session("strict").await;
+    for round in 0..20 {
+        assert_eq!(reader.run(&format!("READ k{round}")).await.rows, ["v"]);
+    }
+}
+
+/// Guards against a primary that leaves before another one leads.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_primary() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    fleet.platform.database.set_draining(0);
+    fleet.platform.register();
+    await_true("new primary", async || {
+        fleet.platform.database.primary() != Some(0)
+    })
+    .await;
+    let answer = session.run("WRITE x 2").await;
+    assert!(answer.is_signed(), "{answer:?}");
+    assert_eq!(session.run("READ x").await.rows, ["2"]);
+}
+
+/// Guards against reads and writes at a primary that was replaced without any report.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreported_change() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    let mut sessions = Vec::new();
+    for vm in &fleet.vms {
+        let mut session = vm.session("strict").await;
+        assert!(session.run("WRITE x 1").await.is_signed());
+        sessions.push(session);
+    }
+    fleet.platform.database.promote(&Database::id(1));
+    let (first, rest) = sessions.split_at_mut(1);
+    assert!(first[0].run("WRITE x 2").await.is_signed());
+    assert_eq!(rest[0].run("READ x").await.rows, ["2"]);
+    let runs = fleet.platform.database.runs();
+    let last = runs.last().expect("a read ran");
+    assert_eq!(last.member, 1, "{last:?}");
+}
+
+/// Guards against a second promotion when the answer to the claim is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_claim() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    fleet.platform.store.lose_answers(4);
+    fleet.platform.database.set_dark(0, true);
+    await_true("new primary", async || {
+        fleet.platform.database.primary() != Some(0)
+    })
+    .await;
+    let claim = fleet.platform.store.get("chervildrift", "claim/ledger");
+    let claim: serde_json::Value = serde_json::from_slice(&claim.expect("a claim")).expect("JSON");
+    assert_eq!(claim["token"], 1, "{claim}");
+}
+
+/// Guards against a promotion while a minority of the VMs can't reach the primary.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    fleet.platform.store.set_down(true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for round in 0..5 {
+        assert!(session.run(&format!("WRITE x {round}")).await.is_signed());
+    }
+    fleet.platform.store.set_down(false);
+    fleet.platform.store.compact();
+    fleet.platform.configure(2, &[("late", "primary", 0)]);
+    await_true("new route", async || {
+        let mut probe = relayed::Session::connect(fleet.vms[1].callers).await;
+        probe.send("START late tester").await.end == "READY I -"
+    })
+    .await;
+    assert_eq!(fleet.platform.database.primary(), Some(0));
+}
+
+/// Guards against an acknowledgement by the primary alone while a replica could confirm it.
+#[tokio::test(flavor = "multi_thread")]
+async fn unconfirmed_commit() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    fleet.platform.database.set_deaf(true);
+    assert!(session.run("WRITE x 2").await.is_signed());
+    await_true("log line", async || {
+        let log = fleet.vms[0].log();
+        log.iter().any(|line| line["event"] == "unconfirmed")
+    })
+    .await;
+    let lines = fleet.vms[0].log();
+    let unconfirmed = lines.iter().filter(|line| line["event"] == "unconfirmed");
+    assert_eq!(unconfirmed.count(), 1);
+}
--- /dev/null
+++ b/chervildrift/tests/relay_reads.rs
@@ -0,0 +1,81 @@
+//! Reads through a relaying VM: freshness by route and session, and failed replicas.
+
+mod relayed;
+
+use std::time::Duration;
+
+use chervildrift_standin::deployment::Options;
+
+use relayed::Fleet;
+
+/// Lag of replicas that never apply a commit within a test.
+const FOREVER: Duration = Duration::from_secs(600);
+
+/// Guards against reads at replicas that lack a commit of the session.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_commits() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    fleet.platform.database.set_lag(FOREVER);
+    for round in 0..10 {
+        let vm = &fleet.vms[round % 2];
+        let mut session = vm.session("own").await;
+        let value = format!("v{round}");
+        assert!(session.run(&format!("WRITE x {value}")).await.is_signed());
+        assert_eq!(session.run("READ x").await.rows, [value]);
+    }
+}
+
+/// Guards against old data on a route that allows none, through another VM than the write.
+#[tokio::test(flavor = "multi_thread")]
+async fn strict_reads() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    fleet.platform.database.set_lag(FOREVER);
+    let mut writer = fleet.vms[0].session("strict").await;
+    let mut reader = fleet.vms[1].session("strict").await;
+    for round in 0..20 {
+        let value = format!("v{round}");
+        assert!(writer.run(&format!("WRITE x {value}")).await.is_signed());
+        assert_eq!(reader.run("READ x").await.rows, [value]);
+    }
+    let runs = fleet.platform.database.runs();
+    let reads = runs.iter().filter(|it| it.text == "READ x");
+    assert!(reads.into_iter().all(|it| it.inside && it.member == 0));
+}
+
+/// Guards against data that is older than the route's bound, and against reads that all go to the
+/// primary.
+#[tokio::test(flavor = "multi_thread")]
+async fn bounded_reads() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    let mut writer = fleet.vms[0].session("strict").await;
+    let mut reader = fleet.vms[1].session("loose").await;
+    assert!(writer.run("WRITE x first").await.is_signed());
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    for _ in 0..20 {
+        assert_eq!(reader.run("READ x").await.rows, ["first"]);
+    }
+    let runs = fleet.platform.database.runs();
+    let at_replicas = runs
+        .iter()
+        .filter(|it| it.text == "READ x" && it.member > 0);
+    assert!(at_replicas.count() >= 10, "reads went to the primary");
+    fleet.platform.database.set_lag(FOREVER);
+    assert!(writer.run("WRITE x second").await.is_signed());
+    tokio::time::sleep(Duration::from_millis(1_700)).await;
+    assert_eq!(reader.run("READ x").await.rows, ["second"]);
+}
+
+/// Guards against a read that fails with its replica, and against one held for the whole limit.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_replica() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("loose").await;
+    assert!(session.run("READ x").await.is_signed());
+    for member in [1, 2] {
+        fleet.platform.database.set_dark(member, true);
+    }
+    for _ in 0..5 {
+        let answer = session.run("READ x").await;
+        assert!(answer.is_signed(), "{answer:?}");
+    }
+}
--- /dev/null
+++ b/chervildrift/tests/relay_sessions.rs
@@ -0,0 +1,174 @@
+//! Sessions through a relaying VM: values, prepared statements, transactions and bad input.
+
+mod relayed;
+
+use chervildrift_standin::deployment::Options;
+
+use relayed::{Fleet, Session, id};
+
+/// Guards against statements on connections with the values of another session.
+#[tokio::test(flavor = "multi_thread")]
+async fn own_values() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let vm = &fleet.vms[0];
+    let (mut a, mut b, mut c) = (
+        vm.session("strict").await,
+        vm.session("strict").await,
+        vm.session("strict").await,
+    );
+    a.run("SET path a b").await;
+    b.run("SET path other").await;
+    b.run("SET style plain").await;
+    for round in 0..10 {
+        for (session, name) in [(&mut a, "a"), (&mut b, "b"), (&mut c, "c")] {
+            let answer = session.run(&format!("READ {name}{round}")).await;
+            assert!(answer.is_signed(), "{answer:?}");
+        }
+    }
+    for run in fleet.platform.database.runs() {
+        let values: Vec<_> = run.values.iter().map(|(k, v)| format!("{k}={v}")).collect();
+        let expected: &[&str] = match run.text.as_bytes()[5] {
+            b'a' => &["path=a b"],
+            b'b' => &["path=other", "style=plain"],
+            _ => &[],
+        };
+        assert_eq!(values, expected, "{run:?}");
+    }
+}
+
+/// Guards against a prepared name that runs the shape of another session.
+#[tokio::test(flavor = "multi_thread")]
+async fn colliding_names() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let vm = &fleet.vms[0];
+    let (mut a, mut b) = (vm.session("own").await, vm.session("own").await);
+    a.run("PREPARE s1 WRITE shape-a").await;
+    b.run("PREPARE s1 READ shape-b").await;
+    for round in 0..5 {
+        assert!(
+            a.run(&format!("EXECUTE s1 a{round} data"))
+                .await
+                .is_signed()
+        );
+        assert!(b.run(&format!("EXECUTE s1 b{round}")).await.is_signed());
+    }
+    assert_eq!(a.run("EXECUTE none x").await.code(), "UNKNOWN");
+    b.run("DEALLOCATE s1").await;
+    assert_eq!(b.run("EXECUTE s1 x").await.code(), "UNKNOWN");
+    for run in fleet.platform.database.runs() {
+        let item = run.text.split(' ').nth(1).expect("an item");
+        let shape = format!("shape-{}", &item[..1]);
+        assert!(run.text.starts_with(&shape), "{run:?}");
+    }
+}
+
+/// Guards against statements inside another session's transaction, and against half of one.
+#[tokio::test(flavor = "multi_thread")]
+async fn separate_transactions() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let vm = &fleet.vms[0];
+    let (mut a, mut b) = (vm.session("strict").await, vm.session("strict").await);
+    for session in [&mut a, &mut b] {
+        assert_eq!(session.run("BEGIN").await.end, "READY T -");
+    }
+    assert!(a.run("WRITE x 1").await.is_signed());
+    assert!(b.run("WRITE y 2").await.is_signed());
+    assert_eq!(a.run("READ x").await.rows, ["1"]);
+    assert_eq!(
+        b.run("READ x").await.rows,
+        ["-"],
+        "sees an open transaction"
+    );
+    assert!(a.run("COMMIT").await.is_signed());
+    assert_eq!(b.run("ROLLBACK").await.end, "READY I -");
+    assert_eq!(b.run("READ x").await.rows, ["1"]);
+    assert_eq!(
+        b.run("READ y").await.rows,
+        ["-"],
+        "kept what was rolled back"
+    );
+    let runs = fleet.platform.database.runs();
+    let connections = |item: &str| -> Vec<u64> {
+        let inside = runs.iter().filter(|it| it.inside && it.text.contains(item));
+        inside.map(|it| it.connection).collect()
+    };
+    assert!(connections("WRITE x") != connections("WRITE y"));
+}
+
+/// Guards against a caller that leaves inside a transaction whose connection others then use.
+#[tokio::test(flavor = "multi_thread")]
+async fn abandoned_transaction() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let vm = &fleet.vms[0];
+    for _ in 0..6 {
+        let mut gone = vm.session("strict").await;
+        gone.run("BEGIN").await;
+        gone.run("WRITE x lost").await;
+        drop(gone);
+    }
+    let mut session = vm.session("strict").await;
+    assert!(session.run("WRITE y kept").await.is_signed());
+    assert_eq!(session.run("READ x").await.rows, ["-"]);
+    let runs = fleet.platform.database.runs();
+    let write = runs.iter().find(|it| it.text == "WRITE y kept");
+    assert!(!write.expect("the write ran").inside);
+}
+
+/// Guards against messages that stop the VM or reach an upstream.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_messages() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let vm = &fleet.vms[0];
+    let mut session = Session::connect(vm.callers).await;
+    assert_eq!(session.send("QUERY 1 READ x").await.code(), "MALFORMED");
+    let mut session = Session::connect(vm.callers).await;
+    assert_eq!(
+        session.send("START nowhere tester").await.code(),
+        "NODATABASE"
+    );
+    let mut session = Session::connect(vm.callers).await;
+    let long = "x".repeat((1 << 20) + 10);
+    assert_eq!(
+        session.send(&format!("START {long}")).await.code(),
+        "TOOLARGE"
+    );
+    let mut session = vm.session("strict").await;
+    for text in [
+        "EXPLAIN x",
+        "READ",
+        "WRITE",
+        "COMMIT",
+        "ROLLBACK",
+        "STATUS",
+        "SET x",
+    ] {
+        assert_eq!(session.run(text).await.code(), "MALFORMED", "{text}");
+    }
+    assert_eq!(session.send("NONSENSE").await.code(), "MALFORMED");
+    assert!(session.run("READ x").await.is_signed());
+    let texts: Vec<String> = fleet
+        .platform
+        .database
+        .runs()
+        .into_iter()
+        .map(|it| it.text)
+        .collect();
+    assert_eq!(texts, ["READ x"]);
+}
+
+/// Guards against a write that is repeated after its answer was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    fleet.platform.database.lose_answers(1);
+    let id = id();
+    let answer = session.send(&format!("QUERY {id} WRITE x once")).await;
+    assert_eq!(answer.code(), "INDOUBT", "{answer:?}");
+    let runs = fleet.platform.database.runs();
+    assert_eq!(runs.iter().filter(|it| it.id == id).count(), 1);
+    assert_eq!(session.run("BEGIN").await.end, "READY T -");
+    assert!(session.run("WRITE x twice").await.is_signed());
+    fleet.platform.database.lose_answers(1);
+    assert_eq!(session.run("COMMIT").await.code(), "INDOUBT");
+}
--- /dev/null
+++ b/chervildrift/tests/relay_stops.rs
@@ -0,0 +1,90 @@
+//! Planned stops and changed configurations of relaying VMs.
+
+mod relayed;
+
+use std::time::{Duration, Instant};
+
+use chervildrift_standin::deployment::Options;
+
+use relayed::{Fleet, ROUTES, Session, await_true};
+
+/// Grace period of the test fleet.
+const GRACE: Duration = Duration::from_secs(3);
+
+/// Guards against requests that are cut by a planned stop, and against one that takes too long.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop() {
+    let mut fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut idle = fleet.vms[0].session("strict").await;
+    let mut open = fleet.vms[0].session("strict").await;
+    open.run("BEGIN").await;
+    assert!(open.run("WRITE x 1").await.is_signed());
+    let start = Instant::now();
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].await_ready(false).await;
+    assert!(
+        idle.run("READ x").await.is_signed(),
+        "serves while it leaves"
+    );
+    assert!(open.run("COMMIT").await.is_signed());
+    assert_eq!(idle.answer().await.end, "", "an idle session is closed");
+    assert!(fleet.vms[0].wait(), "a request was cut");
+    assert!(start.elapsed() < GRACE);
+    assert_eq!(fleet.platform.database.value("x").as_deref(), Some("1"));
+}
+
+/// Guards against a transaction that holds up a stop or is cut without an answer.
+#[tokio::test(flavor = "multi_thread")]
+async fn open_transaction() {
+    let mut fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut open = fleet.vms[0].session("strict").await;
+    open.run("BEGIN").await;
+    assert!(open.run("WRITE x 1").await.is_signed());
+    fleet.vms[0].signal("TERM");
+    tokio::time::sleep(GRACE * 6 / 10).await;
+    assert_eq!(open.run("READ x").await.code(), "ABORTED");
+    fleet.vms[0].wait();
+    assert_eq!(fleet.platform.database.value("x"), None);
+}
+
+/// Guards against routes that stay after they were dropped, and against versions that go back.
+#[tokio::test(flavor = "multi_thread")]
+async fn dropped_route() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let vm = &fleet.vms[0];
+    let mut old = vm.session("strict").await;
+    assert!(old.run("READ x").await.is_signed());
+    fleet.platform.configure(7, &ROUTES[1..]);
+    await_true("dropped route", async || {
+        let mut probe = Session::connect(vm.callers).await;
+        probe.send("START strict tester").await.code() == "NODATABASE"
+    })
+    .await;
+    assert_eq!(old.run("READ x").await.code(), "NODATABASE");
+    fleet.platform.configure(3, &ROUTES);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let mut probe = Session::connect(vm.callers).await;
+    assert_eq!(probe.send("START strict tester").await.code(), "NODATABASE");
+}
+
+/// Guards against upstreams that are used on the word of another writer, or after they are gone.
+#[tokio::test(flavor = "multi_thread")]
+async fn foreign_entries() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let store = &fleet.platform.store;
+    store.put("servers", "i-9", br#"{"service":"ledger","state":"odd"}"#);
+    store.put("servers", "i-8", b"\xff\xfe");
+    store.put("op", "other", b"{}");
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    for member in ["i-1", "i-2"] {
+        store.remove("servers", member);
+    }
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let before = fleet.platform.database.runs().len();
+    for _ in 0..10 {
+        assert!(session.run("READ x").await.is_signed());
+    }
+    let runs = fleet.platform.database.runs();
+    assert!(runs[before..].iter().all(|it| it.member == 0));
+}
--- /dev/null
+++ b/chervildrift/tests/relayed/mod.rs
@@ -0,0 +1,237 @@
+//! Relaying VMs as separate processes before a stand-in of the platform, for tests.
+
+#![allow(dead_code, reason = "each test file uses a part of the helpers")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use chervildrift_standin::deployment::{self, Handle, Options};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Routes of the tests: name, kind and staleness bound in milliseconds.
+pub const ROUTES: [(&str, &str, u64); 3] = [
+    ("strict", "primary", 0),
+    ("own", "read_your_writes", 2_500),
+    ("loose", "bounded", 1_500),
+];
+
+const PORT: u16 = 7_100;
+const READY_LIMIT: Duration = Duration::from_secs(20);
+
+/// Longest wait for an answer; a statement may be held for a failover.
+const ANSWER_LIMIT: Duration = Duration::from_secs(15);
+
+/// A relaying VM that is killed when it is dropped.
+pub struct Vm {
+    child: Child,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    log: PathBuf,
+}
+
+impl Drop for Vm {
+    fn drop(&mut self) {
+        let _gone = self.child.kill();
+        let _gone = self.child.wait();
+        let _gone = std::fs::remove_file(&self.log);
+    }
+}
+
+/// A deployment with relaying VMs.
+pub struct Fleet {
+    pub platform: Handle,
+    pub vms: Vec<Vm>,
+}
+
+impl Fleet {
+    /// Starts the stand-in, publishes the routes and starts VMs.
+    pub async fn spawn(vms: usize, options: &Options) -> Self {
+        Self::spawn_with(vms, options, "").await
+    }
+
+    /// Starts a fleet with more lines in the settings of its VMs.
+    pub async fn spawn_with(vms: usize, options: &Options, more: &str) -> Self {
+        let platform = deployment::spawn(options).await.expect("a deployment");
+        platform.configure(1, &ROUTES);
+        let mut fleet = Self {
+            platform,
+            vms: Vec::new(),
+        };
+        for _ in 0..vms {
+            fleet.add(more);
+        }
+        for vm in &fleet.vms {
+            vm.await_ready(true).await;
+        }
+        fleet
+    }
+
+    /// Starts one more VM.
+    pub fn add(&mut self, more: &str) -> &Vm {
+        static COUNT: AtomicU8 = AtomicU8::new(1);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let [.., high, low] = std::process::id().to_be_bytes();
+        // Nobody else uses this address, so that no other test takes its ports.
+        let host = Ipv4Addr::new(127, 128 | (high & 63), low, number);
+        let [callers, operators] = [PORT, PORT + 1].map(|port| SocketAddr::from((host, port)));
+        let path = |kind: &str| {
+            let name = format!("relay-{}-{number}.{kind}", std::process::id());
+            std::env::temp_dir().join(name)
+        };
+        let (settings, log) = (path("yaml"), path("log"));
+        let text = format!(
+            "vm: vm-{number}\nzone: north\nregions: {{north: isle}}\ncallers: \"{callers}\"\n\
+             operators: \"{operators}\"\nstore: \"{0}\"\npromotions: \"{0}\"\ngrace_s: 3\n{more}",
+            self.platform.address
+        );
+        std::fs::write(&settings, text).expect("writes the settings");
+        let child = Command::new(env!("CARGO_BIN_EXE_chervildrift"))
+            .args(["relay", "--config"])
+            .arg(&settings)
+            .stdout(std::fs::File::create(&log).expect("a log file"))
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("relay starts");
+        self.vms.push(Vm {
+            child,
+            callers,
+            operators,
+            log,
+        });
+        self.vms.last().expect("a VM was added")
+    }
+}
+
+impl Vm {
+    /// Waits until the VM says that it is ready, or that it is not.
+    pub async fn await_ready(&self, ready: bool) {
+        let url = format!("http://{}/ready", self.operators);
+        await_true("readiness", async || {
+            let response = reqwest::get(&url).await;
+            response.is_ok_and(|it| it.status().is_success() == ready)
+        })
+        .await;
+    }
+
+    /// Sends a signal by its name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        let status = Command::new("kill")
+            .args([&format!("-{name}"), &id])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for the end of the process and tells whether it was a success.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().expect("the process ends").success()
+    }
+
+    /// Returns the lines that the VM has logged.
+    pub fn log(&self) -> Vec<serde_json::Value> {
+        let text = std::fs::read_to_string(&self.log).expect("a log");
+        let lines = text.lines().filter_map(|it| serde_json::from_str(it).ok());
+        lines.collect()
+    }
+
+    /// Opens a session.
+    pub async fn session(&self, database: &str) -> Session {
+        let mut session = Session::connect(self.callers).await;
+        let answer = session.send(&format!("START {database} tester")).await;
+        assert_eq!(answer.end, "READY I -", "{answer:?}");
+        session
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn await_true(problem: &str, condition: impl AsyncFn() -> bool) {
+    let start = Instant::now();
+    while !condition().await {
+        assert!(start.elapsed() < READY_LIMIT, "no {problem} in time");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Lines of an answer.
+#[derive(Clone, Debug, Default)]
+pub struct Answer {
+    /// Rows without their word.
+    pub rows: Vec<String>,
+    /// The line with the result, if there was one.
+    pub result: String,
+    /// The line that ends the answer, or nothing if the connection ended.
+    pub end: String,
+}
+
+impl Answer {
+    /// Returns the code of a failed answer, or nothing.
+    pub fn code(&self) -> &str {
+        let rest = self.result.strip_prefix("ERROR ").unwrap_or_default();
+        rest.split(' ').next().unwrap_or_default()
+    }
+
+    /// Tells whether an upstream ran the statement.
+    pub fn is_signed(&self) -> bool {
+        self.result.starts_with("COMPLETE sig.")
+    }
+}
+
+/// A caller's session.
+pub struct Session {
+    lines: Lines<BufReader<TcpStream>>,
+}
+
+impl Session {
+    /// Connects without a session.
+    pub async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.expect("a connection");
+        Self {
+            lines: BufReader::new(stream).lines(),
+        }
+    }
+
+    /// Sends a line and reads the answer up to its end.
+    pub async fn send(&mut self, line: &str) -> Answer {
+        let out = format!("{line}\r\n");
+        let stream = self.lines.get_mut();
+        stream.write_all(out.as_bytes()).await.expect("sent");
+        self.answer().await
+    }
+
+    /// Reads an answer up to its end.
+    pub async fn answer(&mut self) -> Answer {
+        let mut answer = Answer::default();
+        let read = async {
+            while let Ok(Some(line)) = self.lines.next_line().await {
+                if let Some(row) = line.strip_prefix("ROW ") {
+                    answer.rows.push(row.to_owned());
+                } else if line.starts_with("READY ") {
+                    answer.end = line;
+                    break;
+                } else {
+                    answer.result = line;
+                }
+            }
+        };
+        timeout(ANSWER_LIMIT, read)
+            .await
+            .expect("an answer in time");
+        answer
+    }
+
+    /// Runs a statement under a new id.
+    pub async fn run(&mut self, text: &str) -> Answer {
+        self.send(&format!("QUERY {} {text}", id())).await
+    }
+}
+
+/// Returns an id that no other statement of the test has.
+pub fn id() -> String {
+    static COUNT: AtomicU64 = AtomicU64::new(0);
+    format!("{:016x}", COUNT.fetch_add(1, Ordering::Relaxed))
+}
--- a/chervildrift_core/src/relay/choice.rs
+++ b/chervildrift_core/src/relay/choice.rs
@@ -10,11 +10,17 @@
 /// Time for which an upstream that gave no answer is asked last.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
 
+/// Time by which the leader has to be nearer than a replica in order to serve a read, since writes
+/// can run nowhere else.
+const LEADER_COST: Duration = Duration::from_millis(5);
+
 /// An upstream that may serve a read.
 #[derive(Clone, Debug)]
 pub struct Candidate {
     /// Name of the upstream.
     pub upstream: Upstream,
+    /// Whether it leads its service.
+    pub leads: bool,
     /// Time of a message there and back.
     pub distance: Duration,
     /// Estimated wait for a connection.
@@ -30,10 +36,15 @@
 pub fn choose(now: Time, candidates: &[Candidate]) -> Option<&Candidate> {
     let recent = |at: Option<Time>, pause: Duration| at.is_some_and(|at| now.since(at) < pause);
     candidates.iter().min_by_key(|it| {
+        let cost = if it.leads {
+            LEADER_COST
+        } else {
+            Duration::ZERO
+        };
         (
             recent(it.failed, FAILED_PAUSE),
             recent(it.lagged, LAGGING_PAUSE),
-            it.distance + it.wait,
+            it.distance + it.wait + cost,
         )
     })
 }
--- /dev/null
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -0,0 +1,303 @@
+//! Databases of one service: their logs, roles and faults.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::{Options, SERVICE};
+
+/// A commit of one item in a log.
+#[derive(Clone, Debug)]
+struct Entry {
+    term: u64,
+    number: u64,
+    writes: Vec<(String, String)>,
+}
+
+/// A statement that a database ran for a caller.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Index of the database.
+    pub member: usize,
+    /// Connection, which is unique over all databases.
+    pub connection: u64,
+    /// Id of the statement.
+    pub id: String,
+    /// Text of the statement, with the shape in place of a prepared name.
+    pub text: String,
+    /// Values of the connection at that time.
+    pub values: BTreeMap<String, String>,
+    /// Whether it ran inside a transaction.
+    pub inside: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    address: SocketAddr,
+    primary: bool,
+    draining: bool,
+    /// Whether connections hang and answers stay away.
+    dark: bool,
+    log: Vec<Entry>,
+    applied: usize,
+    connections: usize,
+}
+
+#[derive(Debug)]
+struct State {
+    members: Vec<Member>,
+    term: u64,
+    token: u64,
+    lag: Duration,
+    deaf: bool,
+    lost_answers: u32,
+    runs: Vec<Run>,
+    next: u64,
+    sequence: u64,
+}
+
+/// Databases of one service.
+#[derive(Debug)]
+pub struct Database {
+    state: Mutex<State>,
+    limit: usize,
+}
+
+impl Database {
+    pub(super) fn open(options: &Options) -> Self {
+        let member = |index| Member {
+            address: SocketAddr::from(([127, 0, 0, 1], 0)),
+            primary: index == 0,
+            draining: false,
+            dark: false,
+            log: Vec::new(),
+            applied: 0,
+            connections: 0,
+        };
+        Self {
+            limit: options.connections,
+            state: Mutex::new(State {
+                members: (0..options.databases).map(member).collect(),
+                term: 1,
+                token: 0,
+                lag: options.lag,
+                deaf: false,
+                lost_answers: 0,
+                runs: Vec::new(),
+                next: 0,
+                sequence: 0,
+            }),
+        }
+    }
+
+    /// Returns the id of a database.
+    #[must_use]
+    pub fn id(member: usize) -> String {
+        format!("i-{member}")
+    }
+
+    /// Returns the index of the primary.
+    pub fn primary(&self) -> Option<usize> {
+        self.lock().members.iter().position(|it| it.primary)
+    }
+
+    /// Returns the statements that were run for callers.
+    pub fn runs(&self) -> Vec<Run> {
+        self.lock().runs.clone()
+    }
+
+    /// Returns the value of an item at the primary.
+    pub fn value(&self, item: &str) -> Option<String> {
+        let state = self.lock();
+        let primary = state.members.iter().find(|it| it.primary)?;
+        find(&primary.log, item)
+    }
+
+    /// Sets the time after which replicas apply a commit.
+    pub fn set_lag(&self, lag: Duration) {
+        self.lock().lag = lag;
+    }
+
+    /// Sets whether replicas receive no commits.
+    pub fn set_deaf(&self, deaf: bool) {
+        self.lock().deaf = deaf;
+    }
+
+    /// Sets whether a database stays silent.
+    pub fn set_dark(&self, member: usize, dark: bool) {
+        self.lock().members[member].dark = dark;
+    }
+
+    /// Sets whether a database is about to leave.
+    pub fn set_draining(&self, member: usize) {
+        self.lock().members[member].draining = true;
+    }
+
+    /// Loses the answers of the next commits, which take effect.
+    pub fn lose_answers(&self, count: u32) {
+        self.lock().lost_answers = count;
+    }
+
+    /// Makes a database the primary of the next term, with what it has received.
+    pub fn promote(&self, id: &str) {
+        let mut state = self.lock();
+        let Some(target) = (0..state.members.len()).find(|it| Self::id(*it) == id) else {
+            return;
+        };
+        if state.members[target].primary {
+            return;
+        }
+        state.term += 1;
+        let log = state.members[target].log.clone();
+        for (index, member) in state.members.iter_mut().enumerate() {
+            member.primary = index == target;
+            let common = member.log.len().min(log.len());
+            member.log.truncate(common);
+            member.applied = member.applied.min(common);
+        }
+        state.members[target].applied = log.len();
+    }
+
+    pub(super) fn may_promote(&self, id: &str, token: u64) -> bool {
+        let mut state = self.lock();
+        let running =
+            (0..state.members.len()).any(|it| Self::id(it) == id && !state.members[it].dark);
+        if token < state.token || !running {
+            return false;
+        }
+        state.token = token;
+        true
+    }
+
+    pub(super) fn place(&self, member: usize, address: SocketAddr) {
+        self.lock().members[member].address = address;
+    }
+
+    pub(super) fn entries(&self) -> Vec<(String, Value)> {
+        let mut state = self.lock();
+        state.sequence += 1;
+        let sequence = state.sequence;
+        let entry = |(index, member): (usize, &Member)| {
+            let entry = json!({
+                "service": SERVICE, "address": member.address, "zone": "north", "version": "v1",
+                "slots": 5, "state": if member.draining { "draining" } else { "ready" },
+                "cold_remaining_ms": 0, "sequence": sequence, "born": 1,
+                "database_role": if member.primary { "primary" } else { "replica" },
+            });
+            (Self::id(index), entry)
+        };
+        state.members.iter().enumerate().map(entry).collect()
+    }
+
+    /// Takes a connection; `None` if there are too many.
+    pub(super) fn connect(&self, member: usize) -> Option<u64> {
+        let mut state = self.lock();
+        if state.members[member].connections >= self.limit {
+            return None;
+        }
+        state.members[member].connections += 1;
+        state.next += 1;
+        Some(state.next)
+    }
+
+    pub(super) fn disconnect(&self, member: usize) {
+        self.lock().members[member].connections -= 1;
+    }
+
+    pub(super) fn is_dark(&self, member: usize) -> bool {
+        self.lock().members[member].dark
+    }
+
+    pub(super) fn leads(&self, member: usize) -> bool {
+        self.lock().members[member].primary
+    }
+
+    pub(super) fn note(&self, run: Run) {
+        self.lock().runs.push(run);
+    }
+
+    /// Returns the applied position of a database.
+    pub(super) fn position(&self, member: usize) -> (u64, u64) {
+        let state = self.lock();
+        let member = &state.members[member];
+        let last = member.applied.checked_sub(1).map(|at| &member.log[at]);
+        last.map_or((1, 0), |entry| (entry.term, entry.number))
+    }
+
+    /// Returns the received position of a database.
+    pub(super) fn received(&self, member: usize) -> (u64, u64) {
+        let state = self.lock();
+        let last = state.members[member].log.last();
+        last.map_or((1, 0), |entry| (entry.term, entry.number))
+    }
+
+    /// Tells whether a database has applied a position.
+    pub(super) fn holds(&self, member: usize, mark: (u64, u64)) -> bool {
+        let state = self.lock();
+        let member = &state.members[member];
+        let applied = &member.log[..member.applied];
+        mark.1 == 0 || applied.iter().any(|it| (it.term, it.number) == mark)
+    }
+
+    pub(super) fn read(&self, member: usize, item: &str) -> Option<String> {
+        let state = self.lock();
+        let member = &state.members[member];
+        find(&member.log[..member.applied], item)
+    }
+
+    /// Commits at the primary and sends the commit to the replicas; tells whether its answer is
+    /// lost, or `None` if the database is not the primary.
+    pub(super) fn commit(
+        self: &Arc<Self>,
+        member: usize,
+        writes: Vec<(String, String)>,
+    ) -> Option<bool> {
+        let mut state = self.lock();
+        if !state.members[member].primary {
+            return None;
+        }
+        let (term, number) = (state.term, state.members[member].log.len() as u64 + 1);
+        let entry = Entry {
+            term,
+            number,
+            writes,
+        };
+        let (deaf, lag) = (state.deaf, state.lag);
+        for (index, it) in state.members.iter_mut().enumerate() {
+            if index == member || !deaf && it.log.len() as u64 + 1 == number {
+                it.log.push(entry.clone());
+            }
+        }
+        state.members[member].applied = state.members[member].log.len();
+        let lost = state.lost_answers > 0;
+        state.lost_answers = state.lost_answers.saturating_sub(1);
+        drop(state);
+        let database = Arc::clone(self);
+        tokio::spawn(async move {
+            tokio::time::sleep(lag).await;
+            database.apply(number);
+        });
+        Some(lost)
+    }
+
+    fn apply(&self, number: u64) {
+        for member in &mut self.lock().members {
+            let known = member.log.len().min(number as usize);
+            member.applied = member.applied.max(known);
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn find(log: &[Entry], item: &str) -> Option<String> {
+    let mut writes = log.iter().rev().flat_map(|entry| entry.writes.iter().rev());
+    writes
+        .find(|(name, _)| name == item)
+        .map(|(_, data)| data.clone())
+}
--- /dev/null
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -0,0 +1,88 @@
+//! HTTP interface of the store and of orders to promote.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use tokio::net::TcpStream;
+
+use super::Handle;
+
+/// Why a connection ends without an answer.
+#[derive(Debug)]
+struct AnswerLost;
+
+impl std::fmt::Display for AnswerLost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("the answer is lost")
+    }
+}
+
+impl std::error::Error for AnswerLost {}
+
+/// Serves one connection.
+pub(super) async fn serve(handle: Handle, stream: TcpStream) {
+    let service = service_fn(|request| answer(&handle, request));
+    let connection = hyper::server::conn::http1::Builder::new();
+    // A connection ends as its client or a lost answer wants.
+    let _ended = connection
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn answer(
+    handle: &Handle,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, AnswerLost> {
+    if handle.store.is_down() {
+        return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, None));
+    }
+    let (head, body) = request.into_parts();
+    let body = body.collect().await.ok().ok_or(AnswerLost)?.to_bytes();
+    let call: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let query = head.uri.query().unwrap_or_default().as_bytes();
+    let query: HashMap<String, String> = form_urlencoded::parse(query).into_owned().collect();
+    let table = query.get("table").map_or("", String::as_str);
+    let number = |name: &str| query.get(name).and_then(|it| it.parse().ok()).unwrap_or(0);
+    match (&head.method, head.uri.path()) {
+        (&Method::GET, "/v1/rows-get") => Ok(reply(StatusCode::OK, Some(handle.store.list(table)))),
+        (&Method::GET, "/v1/rows-feed") => {
+            let wait = Duration::from_millis(number("wait_ms"));
+            let changes = handle.store.feed(table, number("after"), wait).await;
+            let status = changes
+                .as_ref()
+                .map_or(StatusCode::GONE, |_| StatusCode::OK);
+            Ok(reply(status, changes))
+        }
+        (&Method::POST, "/v1/rows-tx") => match handle.store.transact(&call) {
+            (_, true, _) => Err(AnswerLost),
+            (true, false, body) => Ok(reply(StatusCode::OK, Some(body))),
+            (false, false, body) => Ok(reply(StatusCode::PRECONDITION_FAILED, Some(body))),
+        },
+        (&Method::POST, "/promotion") => {
+            let token = head.headers.get("X-Chervildrift-Fencing-Token");
+            let token = token.and_then(|it| it.to_str().ok()?.parse().ok());
+            let id = call["id"].as_str().unwrap_or_default();
+            let taken = handle.promote(id, token.unwrap_or(0));
+            let status = if taken {
+                StatusCode::OK
+            } else {
+                StatusCode::CONFLICT
+            };
+            Ok(reply(status, None))
+        }
+        _ => Ok(reply(StatusCode::NOT_FOUND, None)),
+    }
+}
+
+fn reply(status: StatusCode, body: Option<Value>) -> Response<Full<Bytes>> {
+    let body = body.map(|body| body.to_string()).unwrap_or_default();
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -0,0 +1,131 @@
+//! Stand-in of the users' platform: its store, one service's databases and orders to promote.
+//!
+//! It follows the platform's published protocol as far as the relaying VM uses it. Faults are
+//! switched by the [`Handle`], and what the databases ran is kept for tests to judge.
+
+mod database;
+mod http;
+mod replies;
+mod session;
+mod store;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+
+pub use self::database::{Database, Run};
+pub use self::store::Store;
+
+/// Time between an order to promote and the start of the new primary.
+const PROMOTION: Duration = Duration::from_millis(100);
+
+/// Name of the service.
+pub const SERVICE: &str = "ledger";
+
+/// How a deployment starts.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Databases of the service, the first of which is the primary.
+    pub databases: usize,
+    /// Time after which a replica applies a commit.
+    pub lag: Duration,
+    /// Connections that a database takes at a time.
+    pub connections: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            databases: 3,
+            lag: Duration::from_millis(20),
+            connections: 30,
+        }
+    }
+}
+
+/// Running stand-in of the platform, whose tasks end with the runtime.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    /// Address of the store, which also takes orders.
+    pub address: SocketAddr,
+    /// The store.
+    pub store: Arc<Store>,
+    /// Databases of the service.
+    pub database: Arc<Database>,
+}
+
+/// Starts a deployment on the runtime of the caller.
+pub async fn spawn(options: &Options) -> std::io::Result<Handle> {
+    let store = Arc::new(Store::default());
+    let database = Arc::new(Database::open(options));
+    for member in 0..options.databases {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        database.place(member, listener.local_addr()?);
+        let database = Arc::clone(&database);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(session::serve(Arc::clone(&database), member, stream));
+            }
+        });
+    }
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let handle = Handle {
+        address: listener.local_addr()?,
+        store,
+        database,
+    };
+    handle.register();
+    let served = handle.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            tokio::spawn(http::serve(served.clone(), stream));
+        }
+    });
+    Ok(handle)
+}
+
+impl Handle {
+    /// Writes the entries of all databases as they see themselves.
+    pub fn register(&self) {
+        for (id, entry) in self.database.entries() {
+            self.store.put("servers", &id, entry.to_string().as_bytes());
+        }
+    }
+
+    /// Publishes a configuration with a route for each name, kind and staleness bound.
+    pub fn configure(&self, version: u64, routes: &[(&str, &str, u64)]) {
+        let routes: Vec<_> = routes
+            .iter()
+            .map(|(name, kind, staleness)| {
+                serde_json::json!({
+                    "name": format!("r-{name}"), "database_name": name, "kind": kind,
+                    "service": SERVICE, "timeout_ms": 1_000, "target_latency_ms": 1_000,
+                    "priority": 0, "max_staleness_ms": staleness, "max_attempts": 2,
+                })
+            })
+            .collect();
+        let config = serde_json::json!({
+            "version": version, "routes": routes,
+            "services": [{"name": SERVICE, "connection_limit": 30, "sync_replicas": 0}],
+            "limits": {"transaction_idle_ms": 3_000},
+        });
+        self.store
+            .put("op", "config", config.to_string().as_bytes());
+    }
+
+    /// Carries out an order; false if its fencing token is outdated or the database is not running.
+    fn promote(&self, id: &str, token: u64) -> bool {
+        if !self.database.may_promote(id, token) {
+            return false;
+        }
+        let (handle, id) = (self.clone(), id.to_owned());
+        tokio::spawn(async move {
+            tokio::time::sleep(PROMOTION).await;
+            handle.database.promote(&id);
+            handle.register();
+        });
+        true
+    }
+}
--- /dev/null
+++ b/chervildrift_standin/src/deployment/replies.rs
@@ -0,0 +1,19 @@
+//! Lines that a database sends.
+
+/// Writes a successful answer.
+pub(super) fn success(rows: &[String], signature: &str, out: &mut String) {
+    for row in rows {
+        out.push_str(&["ROW ", row, "\r\n"].concat());
+    }
+    out.push_str(&["COMPLETE ", signature, "\r\n"].concat());
+}
+
+/// Writes a failed answer.
+pub(super) fn failure(code: &str, out: &mut String) {
+    out.push_str(&["ERROR ", code, " stand-in\r\n"].concat());
+}
+
+/// Writes the end of an answer.
+pub(super) fn ready(state: char, position: (u64, u64), out: &mut String) {
+    out.push_str(&format!("READY {state} {}.{}\r\n", position.0, position.1));
+}
--- /dev/null
+++ b/chervildrift_standin/src/deployment/store.rs
@@ -0,0 +1,219 @@
+//! The platform's store.
+
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+/// A row.
+#[derive(Clone, Debug)]
+struct Row {
+    value: Vec<u8>,
+    version: u64,
+}
+
+/// A changed row in the store's history.
+#[derive(Clone, Debug)]
+struct Change {
+    table: String,
+    key: String,
+    version: u64,
+    value: Option<Vec<u8>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    rows: BTreeMap<(String, String), Row>,
+    history: Vec<Change>,
+    /// Version up to which the history is gone.
+    compacted: u64,
+    version: u64,
+    down: bool,
+    lost_answers: u32,
+}
+
+/// The platform's store.
+#[derive(Debug)]
+pub struct Store {
+    state: Mutex<State>,
+    changed: Notify,
+    start: Instant,
+}
+
+impl Default for Store {
+    fn default() -> Self {
+        Self {
+            state: Mutex::default(),
+            changed: Notify::new(),
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Store {
+    /// Writes a row as another writer does.
+    pub fn put(&self, table: &str, key: &str, value: &[u8]) {
+        self.lock().set(table, key, Some(value));
+        self.changed.notify_waiters();
+    }
+
+    /// Drops a row as another writer does.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.lock().set(table, key, None);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns the content of a row.
+    pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let state = self.lock();
+        let row = state.rows.get(&(table.to_owned(), key.to_owned()));
+        row.map(|row| row.value.clone())
+    }
+
+    /// Sets whether the store answers every call with 503.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+    }
+
+    /// Loses the answers of the next writes, which take effect.
+    pub fn lose_answers(&self, count: u32) {
+        self.lock().lost_answers = count;
+    }
+
+    /// Discards the history.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.compacted = state.version;
+        state.history.clear();
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    pub(super) fn is_down(&self) -> bool {
+        self.lock().down
+    }
+
+    pub(super) fn list(&self, table: &str) -> Value {
+        let state = self.lock();
+        let rows = state.rows.iter().filter(|((name, _), _)| name == table);
+        let rows: Vec<Value> = rows
+            .map(|((_, key), row)| row_json(table, key, Some(&row.value), row.version))
+            .collect();
+        self.answer(&state, &rows)
+    }
+
+    /// Returns the changes after a version, or `None` if they are no longer known.
+    pub(super) async fn feed(&self, table: &str, after: u64, wait: Duration) -> Option<Value> {
+        let end = tokio::time::Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.lock();
+                if after < state.compacted {
+                    return None;
+                }
+                let news = state.history.iter();
+                let news = news.filter(|it| it.table == table && it.version > after);
+                let rows: Vec<Value> = news
+                    .map(|it| row_json(table, &it.key, it.value.as_deref(), it.version))
+                    .collect();
+                if !rows.is_empty() || tokio::time::Instant::now() >= end {
+                    return Some(self.answer(&state, &rows));
+                }
+            }
+            // A wait that ends without a change leads to an empty answer.
+            let _changed = timeout(end.duration_since(tokio::time::Instant::now()), changed).await;
+        }
+    }
+
+    /// Applies a transaction; tells whether it took effect and whether its answer is lost.
+    pub(super) fn transact(&self, call: &Value) -> (bool, bool, Value) {
+        let mut state = self.lock();
+        let entries = |name: &str| call[name].as_array().cloned().unwrap_or_default();
+        let text = |entry: &Value, name: &str| entry[name].as_str().unwrap_or_default().to_owned();
+        let conditions = entries("precondition");
+        let holds = conditions.iter().all(|it| {
+            let row = state.rows.get(&(text(it, "table"), text(it, "key")));
+            row.map_or(0, |row| row.version) == it["version_number"].as_u64().unwrap_or_default()
+        });
+        if !holds {
+            let rows: Vec<Value> = conditions
+                .iter()
+                .filter_map(|it| {
+                    let (table, key) = (text(it, "table"), text(it, "key"));
+                    let row = state.rows.get(&(table.clone(), key.clone()))?;
+                    Some(row_json(&table, &key, Some(&row.value), row.version))
+                })
+                .collect();
+            return (false, false, self.answer(&state, &rows));
+        }
+        for entry in entries("set_keys") {
+            let value = decode(&text(&entry, "value"));
+            state.set(&text(&entry, "table"), &text(&entry, "key"), Some(&value));
+        }
+        for entry in entries("delete_keys") {
+            state.set(&text(&entry, "table"), &text(&entry, "key"), None);
+        }
+        let lost = state.lost_answers > 0;
+        state.lost_answers = state.lost_answers.saturating_sub(1);
+        let answer = self.answer(&state, &[]);
+        drop(state);
+        self.changed.notify_waiters();
+        (true, lost, answer)
+    }
+
+    fn answer(&self, state: &State, rows: &[Value]) -> Value {
+        json!({"rows": rows, "has_more": false, "version_number": state.version,
+            "now_ms": u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)})
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn set(&mut self, table: &str, key: &str, value: Option<&[u8]>) {
+        self.version += 1;
+        let version = self.version;
+        let place = (table.to_owned(), key.to_owned());
+        match value {
+            Some(value) => {
+                let value = value.to_vec();
+                self.rows.insert(place, Row { value, version });
+            }
+            None => {
+                self.rows.remove(&place);
+            }
+        }
+        self.history.push(Change {
+            table: table.to_owned(),
+            key: key.to_owned(),
+            version,
+            value: value.map(<[u8]>::to_vec),
+        });
+    }
+}
+
+fn row_json(table: &str, key: &str, value: Option<&[u8]>, version: u64) -> Value {
+    let mut row = json!({"table": table, "part": "", "key": key, "version_number": version});
+    match value {
+        Some(value) => row["value"] = encode(value).into(),
+        None => row["removed"] = true.into(),
+    }
+    row
+}
+
+fn encode(value: &[u8]) -> String {
+    use base64::Engine;
+    base64::engine::general_purpose::STANDARD.encode(value)
+}
+
+fn decode(text: &str) -> Vec<u8> {
+    use base64::Engine;
+    let decoded = base64::engine::general_purpose::STANDARD.decode(text);
+    decoded.unwrap_or_default()
+}
--- a/chervildrift_standin/src/lib.rs
+++ b/chervildrift_standin/src/lib.rs
@@ -4,5 +4,6 @@
 //! platform's table service, object store and VM list. Both listen on a loopback address, run on
 //! threads of their own and can be told to fail in chosen ways.
 
+pub mod deployment;
 pub mod platform;
 pub mod upstream;
