--- /dev/null
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -0,0 +1,149 @@
+//! Votes on leaders, claims of services and the choice of the next leader.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Case, Claim, Stance, Vote, furthest, stance};
+use chervildrift_core::types::{Mark, Upstream, Vm};
+use proptest::prelude::*;
+
+const LONG: Duration = Duration::from_secs(60);
+
+fn vms(count: usize) -> Vec<Vm> {
+    (0..count).map(|it| Vm::from(format!("vm-{it}"))).collect()
+}
+
+fn vote(vm: &Vm, leader: &str, at: u64) -> Vote {
+    Vote {
+        vm: vm.clone(),
+        leader: Some(Upstream::from(leader)),
+        at,
+    }
+}
+
+fn claim(token: u64, at: u64) -> Claim {
+    Claim {
+        vm: Vm::from("vm-9"),
+        boot: 1,
+        token,
+        replaces: None,
+        at,
+    }
+}
+
+fn case<'a>(leader: &'a Upstream, live: &'a [Vm], votes: &'a [Vote]) -> Case<'a> {
+    Case {
+        leader: Some(leader),
+        planned: false,
+        live,
+        votes,
+        claim: None,
+        store_ms: 100_000,
+        waited: LONG,
+        spread: 3,
+    }
+}
+
+/// Guards against a promotion on the word of a minority, of old votes or of votes on another leader.
+#[test]
+fn majority() {
+    let (leader, live) = (Upstream::from("a"), vms(7));
+    let votes: Vec<Vote> = live[..4].iter().map(|vm| vote(vm, "a", 99_000)).collect();
+    assert_eq!(
+        stance(&live[0], &case(&leader, &live, &votes)),
+        Stance::Claim(1)
+    );
+    assert_eq!(
+        stance(&live[0], &case(&leader, &live, &votes[..3])),
+        Stance::Wait
+    );
+    let old: Vec<Vote> = live.iter().map(|vm| vote(vm, "a", 97_000)).collect();
+    assert_eq!(stance(&live[0], &case(&leader, &live, &old)), Stance::Wait);
+    let other: Vec<Vote> = live.iter().map(|vm| vote(vm, "b", 99_000)).collect();
+    assert_eq!(
+        stance(&live[0], &case(&leader, &live, &other)),
+        Stance::Wait
+    );
+}
+
+/// Guards against votes of VMs that know no leader not counting.
+#[test]
+fn unknown_leader() {
+    let (leader, live) = (Upstream::from("a"), vms(3));
+    let mut votes = vec![vote(&live[0], "a", 99_000), vote(&live[1], "a", 99_000)];
+    votes[1].leader = None;
+    assert_eq!(
+        stance(&live[0], &case(&leader, &live, &votes)),
+        Stance::Claim(1)
+    );
+    let none = Case {
+        leader: None,
+        ..case(&leader, &live, &votes)
+    };
+    assert_eq!(stance(&live[2], &none), Stance::Claim(1));
+}
+
+/// Guards against a second claim while an order may be under way, and against one that never comes.
+#[test]
+fn claims_apart() {
+    let (leader, live) = (Upstream::from("a"), vms(3));
+    let (recent, old) = (claim(4, 97_000), claim(4, 95_000));
+    let planned = Case {
+        planned: true,
+        claim: Some(&recent),
+        ..case(&leader, &live, &[])
+    };
+    assert_eq!(stance(&live[0], &planned), Stance::Wait);
+    let later = Case {
+        claim: Some(&old),
+        ..planned
+    };
+    assert_eq!(stance(&live[0], &later), Stance::Claim(5));
+}
+
+/// Guards against all VMs claiming at once.
+#[test]
+fn staggered() {
+    let (leader, live) = (Upstream::from("a"), vms(7));
+    let first = Case {
+        planned: true,
+        waited: Duration::ZERO,
+        ..case(&leader, &live, &[])
+    };
+    let delays: BTreeSet<Duration> = live
+        .iter()
+        .map(|vm| match stance(vm, &first) {
+            Stance::Later(delay) => delay,
+            Stance::Claim(_) => Duration::ZERO,
+            Stance::Wait => LONG,
+        })
+        .collect();
+    assert_eq!(delays.len(), live.len(), "two VMs have the same place");
+    assert!(delays.contains(&Duration::ZERO) && !delays.contains(&LONG));
+}
+
+/// Guards against a promotion that loses what another replica has.
+#[test]
+fn most_of_log() {
+    let received = [("a", 1, 9), ("b", 2, 3), ("c", 2, 2)];
+    let received = received.map(|(name, term, it)| (Upstream::from(name), Mark::new(term, it)));
+    assert_eq!(furthest(&received), Some(&Upstream::from("b")));
+    assert_eq!(furthest(&[]), None);
+}
+
+proptest! {
+    /// Guards against a fencing token that does not rise, whatever the records say.
+    #[test]
+    fn rising_tokens(token in 0_u64..1_000_000, at in 0_u64..200_000, votes in 0_usize..8) {
+        let (leader, live) = (Upstream::from("a"), vms(7));
+        let votes: Vec<Vote> = live.iter().take(votes).map(|vm| vote(vm, "a", 99_900)).collect();
+        let last = claim(token, at);
+        let case = Case { claim: Some(&last), ..case(&leader, &live, &votes) };
+        for vm in &live {
+            if let Stance::Claim(next) = stance(vm, &case) {
+                prop_assert!(next > token);
+                prop_assert!(votes.len() * 2 > live.len());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/chervildrift_core/tests/relay_freshness.rs
@@ -0,0 +1,137 @@
+//! Samples of a leader's log and the positions that reads need.
+
+use std::time::Duration;
+
+use chervildrift_core::relay::{Floor, Group};
+use chervildrift_core::types::{Mark, Time, Upstream};
+
+const BOUND: Duration = Duration::from_millis(1_500);
+
+fn at(ms: u64) -> Time {
+    Time(ms * 1_000)
+}
+
+fn led() -> (Group, Upstream) {
+    let (mut group, leader) = (Group::default(), Upstream::from("a"));
+    assert!(group.lead(at(0), &leader));
+    (group, leader)
+}
+
+/// Guards against a sample that is older than the bound, counted from when it was asked for.
+#[test]
+fn age_of_samples() {
+    let (mut group, leader) = led();
+    group.sample(at(400), at(0), &leader, Mark::new(1, 5));
+    assert_eq!(
+        group.floor(at(1_300), BOUND, None),
+        Floor::At(Mark::new(1, 5))
+    );
+    assert_eq!(group.floor(at(1_501), BOUND, None), Floor::Leader);
+}
+
+/// Guards against floors that are newer than needed, which lagging replicas can't serve.
+#[test]
+fn oldest_sample() {
+    let (mut group, leader) = led();
+    for step in 0..20 {
+        let asked = at(step * 100);
+        group.sample(asked, asked, &leader, Mark::new(1, step));
+    }
+    assert_eq!(
+        group.floor(at(1_900), BOUND, None),
+        Floor::At(Mark::new(1, 5))
+    );
+}
+
+/// Guards against a session that misses its own commit, also after a change of leader.
+#[test]
+fn own_commit() {
+    let (mut group, leader) = led();
+    group.sample(at(0), at(0), &leader, Mark::new(1, 5));
+    let own = group.own(Some(Mark::new(1, 9)));
+    assert_eq!(
+        group.floor(at(10), BOUND, Some(own)),
+        Floor::At(Mark::new(1, 9))
+    );
+    let unknown = group.own(None);
+    assert_eq!(group.floor(at(10), BOUND, Some(unknown)), Floor::Leader);
+    let next = Upstream::from("b");
+    group.lead(at(20), &next);
+    assert_eq!(group.floor(at(30), BOUND, Some(own)), Floor::Leader);
+    group.sample(at(40), at(30), &next, Mark::new(1, 7));
+    assert_eq!(
+        group.floor(at(50), BOUND, Some(own)),
+        Floor::At(Mark::new(1, 7))
+    );
+}
+
+/// Guards against samples of an upstream that no longer leads.
+#[test]
+fn replaced_leader() {
+    let (mut group, leader) = led();
+    group.sample(at(0), at(0), &leader, Mark::new(1, 5));
+    group.lead(at(10), &Upstream::from("b"));
+    assert_eq!(group.floor(at(20), BOUND, None), Floor::Leader);
+    group.sample(at(30), at(20), &leader, Mark::new(1, 6));
+    assert_eq!(group.floor(at(40), BOUND, None), Floor::Leader);
+}
+
+/// Guards against a dead leader that is trusted, and against one that is given up for one failure
+/// or after a standstill of this VM.
+#[test]
+fn suspicion() {
+    let (mut group, leader) = led();
+    group.sample(at(0), at(0), &leader, Mark::new(1, 1));
+    group.miss(&leader);
+    assert!(!group.suspects(at(5_000)), "one failure");
+    group.miss(&leader);
+    assert!(!group.suspects(at(500)), "a short silence");
+    assert!(group.suspects(at(700)));
+    group.doubt(at(700));
+    assert!(!group.suspects(at(800)), "after a standstill");
+    group.miss(&leader);
+    group.miss(&leader);
+    group.sample(at(1_500), at(1_400), &leader, Mark::new(1, 1));
+    assert!(!group.suspects(at(5_000)), "after an answer");
+}
+
+/// Guards against a service that stays without a leader.
+#[test]
+fn missing_leader() {
+    let (mut group, leader) = led();
+    group.refuse(&leader, 3);
+    assert!(group.leader().is_none());
+    assert!(group.has_refused(&leader, 3) && !group.has_refused(&leader, 4));
+    group.note_absence(at(100));
+    group.note_absence(at(1_000));
+    assert!(!group.suspects(at(2_000)));
+    assert!(group.suspects(at(2_100)));
+    group.lead(at(2_200), &leader);
+    assert!(!group.suspects(at(9_000)));
+}
+
+/// Guards against a commit that counts as received on the word of another term or leader.
+#[test]
+fn received_commits() {
+    let (mut group, leader) = led();
+    let replica = Upstream::from("b");
+    group.note_received(&leader, Mark::new(1, 9));
+    assert!(
+        !group.has_received(Mark::new(1, 9)),
+        "the leader's own word"
+    );
+    group.note_received(&replica, Mark::new(1, 9));
+    assert!(group.has_received(Mark::new(1, 9)));
+    assert!(!group.has_received(Mark::new(2, 9)), "an earlier term");
+    group.note_received(&replica, Mark::new(1, 7));
+    assert!(
+        !group.has_received(Mark::new(1, 9)),
+        "a log that was rolled back"
+    );
+    group.note_received(&replica, Mark::new(1, 9));
+    group.lead(at(10), &replica);
+    assert!(
+        !group.has_received(Mark::new(1, 9)),
+        "an earlier leadership"
+    );
+}
--- /dev/null
+++ b/chervildrift_core/tests/relay_state.rs
@@ -0,0 +1,184 @@
+//! Directory of upstreams, routes, connection limits, choice of upstreams and setup of connections.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{
+    Access, Candidate, Consistency, Directory, Entry, LinkLimit, Presence, Route, RouteTable,
+    Routes, Session, Setup, Shape, Values, choose, links_each, live,
+};
+use chervildrift_core::types::{Kind, Rank, Role, Service, Time, Upstream, Vm, Zone};
+
+fn at(ms: u64) -> Time {
+    Time(ms * 1_000)
+}
+
+fn entry(name: &str, role: Role, version: u64) -> Entry {
+    Entry {
+        upstream: Upstream::from(name),
+        service: Service::from("ledger"),
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        zone: Zone::from("north"),
+        slots: 5,
+        draining: false,
+        role,
+        born: 1,
+        version,
+    }
+}
+
+fn routes(version: u64, databases: &[&str]) -> Routes {
+    let route = |database: &&str| {
+        Arc::new(Route {
+            kind: Kind::from(*database),
+            database: (*database).into(),
+            service: Service::from("ledger"),
+            consistency: Consistency::Primary,
+            rank: Rank::Urgent,
+            timeout: Duration::from_secs(1),
+            target: Duration::from_secs(1),
+        })
+    };
+    Routes {
+        version,
+        routes: databases.iter().map(route).collect(),
+        ..Routes::default()
+    }
+}
+
+/// Guards against upstreams that are given up while their entry is only away for a moment, and
+/// against those that are kept for too long.
+#[test]
+fn lapsed_entries() {
+    let (mut directory, name) = (Directory::default(), Upstream::from("a"));
+    directory.put(entry("a", Role::Primary, 1));
+    directory.lapse(at(0), &name);
+    assert!(!directory.leaves(at(2_000), &name) && directory.leaves(at(2_200), &name));
+    directory.put(entry("a", Role::Primary, 2));
+    assert!(directory.expire(at(9_000)).is_empty() && !directory.leaves(at(9_000), &name));
+    directory.retain(at(10_000), &[]);
+    assert!(directory.expire(at(14_000)).is_empty());
+    assert_eq!(directory.expire(at(14_500)), [name]);
+    assert_eq!(directory.iter().count(), 0);
+}
+
+/// Guards against an outdated report of a primary.
+#[test]
+fn newest_report() {
+    let (mut directory, service) = (Directory::default(), Service::from("ledger"));
+    directory.put(entry("a", Role::Primary, 3));
+    directory.put(entry("b", Role::Primary, 7));
+    directory.put(entry("c", Role::Replica, 9));
+    let primary = directory.reported_primary(&service).expect("a primary");
+    assert_eq!(primary.upstream, Upstream::from("b"));
+}
+
+/// Guards against a configuration that goes back.
+#[test]
+fn route_versions() {
+    let mut table = RouteTable::default();
+    assert!(table.apply(routes(5, &["a", "b"])));
+    assert!(!table.apply(routes(5, &["c"])) && !table.apply(routes(4, &["c"])));
+    assert!(table.find("a").is_some() && table.find("c").is_none());
+    assert!(table.apply(routes(9, &["c"])));
+    assert!(table.find("a").is_none() && table.find("c").is_some());
+}
+
+/// Guards against shares that together pass the limit of an upstream, and against none at all.
+#[test]
+fn connection_shares() {
+    for limit in 1..200 {
+        for vms in 1..50 {
+            let each = links_each(limit, vms);
+            assert!(each == 1 || each * vms <= limit, "{limit} over {vms}");
+            assert!(each >= 1);
+        }
+    }
+}
+
+/// Guards against a refusal that is not heeded, and against a limit that stays low for ever.
+#[test]
+fn refused_connections() {
+    let mut limit = LinkLimit::open(4);
+    limit.refuse(at(0), 2);
+    assert_eq!(limit.get(), 2);
+    assert!(!limit.recover(at(100)));
+    assert!(limit.recover(at(200)) && !limit.recover(at(300)) && limit.recover(at(400)));
+    assert_eq!((limit.get(), limit.recover(at(9_000))), (4, false));
+    limit.refuse(at(9_000), 0);
+    assert_eq!(limit.get(), 1);
+}
+
+/// Guards against VMs that are gone but still get a share.
+#[test]
+fn counted_vms() {
+    let record = |vm: &str, at| Presence {
+        vm: Vm::from(vm),
+        at,
+    };
+    let records = [
+        record("b", 90_000),
+        record("a", 80_000),
+        record("c", 10_000),
+    ];
+    assert_eq!(live(&records, 100_000), [Vm::from("a"), Vm::from("b")]);
+}
+
+/// Guards against reads at upstreams that failed or lag while another one can serve.
+#[test]
+fn nearest_upstream() {
+    let candidate = |name: &str, ms| Candidate {
+        upstream: Upstream::from(name),
+        leads: false,
+        distance: Duration::from_millis(ms),
+        wait: Duration::ZERO,
+        lagged: None,
+        failed: None,
+    };
+    let mut candidates = vec![candidate("near", 1), candidate("far", 40)];
+    let chosen = |candidates: &[Candidate], now| {
+        let chosen = choose(at(now), candidates).expect("a candidate");
+        chosen.upstream.as_str().to_owned()
+    };
+    assert_eq!(chosen(&candidates, 1_000), "near");
+    candidates[0].lagged = Some(at(950));
+    assert_eq!(chosen(&candidates, 1_000), "far");
+    assert_eq!(chosen(&candidates, 1_100), "near");
+    candidates[1].failed = Some(at(900));
+    assert_eq!(chosen(&candidates, 1_000), "near", "lagging beats failed");
+    candidates[0].wait = Duration::from_millis(60);
+    assert_eq!(chosen(&candidates, 2_000), "far", "a long queue");
+    let mut equal = vec![candidate("leader", 1), candidate("replica", 2)];
+    equal[0].leads = true;
+    assert_eq!(chosen(&equal, 0), "replica");
+}
+
+/// Guards against connections that keep values of another session or lack a prepared name.
+#[test]
+fn connection_setup() {
+    let mut session = Session::default();
+    session.set("path", "x");
+    session.prepare("s1", Shape::new(Access::Read, "q"));
+    let shape = session.shape("s1").cloned();
+    let (mut values, mut prepared) = (Values::new(), HashSet::new());
+    let steps = session.setup(&values, &prepared, shape.as_ref());
+    assert!(matches!(
+        steps[..],
+        [Setup::Set("path", "x"), Setup::Prepare(_)]
+    ));
+    values.insert("path".into(), "x".into());
+    prepared.extend(shape.as_ref().map(|shape| shape.name.clone()));
+    assert!(session.setup(&values, &prepared, shape.as_ref()).is_empty());
+    values.insert("other".into(), "y".into());
+    let steps = session.setup(&values, &prepared, shape.as_ref());
+    assert!(
+        matches!(steps[..], [Setup::Reset, Setup::Set(..), Setup::Prepare(_)]),
+        "a reset forgets prepared names as well"
+    );
+    assert_ne!(
+        Shape::new(Access::Write, "q").name,
+        Shape::new(Access::Read, "q").name
+    );
+}
