--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -93,7 +93,7 @@
     ) -> Result<(Self, Duration), LinkError> {
         let asked = clock::now();
         let connect = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
-        let connect = connect.map_err(|_| LinkError::Connect("timeout".into()))?;
+        let connect = connect.map_err(|_elapsed| LinkError::Connect("timeout".into()))?;
         let stream = connect.map_err(|err| LinkError::Connect(err.to_string()))?;
         let distance = clock::now().since(asked);
         let broken = |err: std::io::Error| LinkError::Broken(err.to_string());
@@ -119,7 +119,7 @@
         encode_start(service.as_str(), upstream, &mut out);
         timeout(OPEN_LIMIT, link.greet(&out))
             .await
-            .map_err(|_| LinkError::Silent)??;
+            .map_err(|_elapsed| LinkError::Silent)??;
         Ok((link, distance))
     }
 
@@ -213,7 +213,7 @@
         };
         timeout(limit, exchange)
             .await
-            .map_err(|_| LinkError::Silent)?
+            .map_err(|_elapsed| LinkError::Silent)?
     }
 
     async fn send(&mut self, text: &str) -> Result<(), LinkError> {
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -207,7 +207,7 @@
             }
         };
         let found = timeout(limit, find).await;
-        found.map_err(|_| Failure::new(Code::Busy, "no primary is known"))
+        found.map_err(|_elapsed| Failure::new(Code::Busy, "no primary is known"))
     }
 
     /// Returns the pool of an upstream.
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -212,8 +212,12 @@
                 finish: Finish::Abandoned,
             };
             let sender = self.waiting.borrow_mut().remove(&id);
-            // A lease that nobody waits for any more frees its place as it is dropped.
-            let _unclaimed = sender.map(|sender| sender.send(lease));
+            if let Some(sender) = sender
+                && let Err(unclaimed) = sender.send(lease)
+            {
+                // Nobody waits for the lease any more; it frees its place as it is dropped.
+                drop(unclaimed);
+            }
         }
     }
 
@@ -250,12 +254,11 @@
         if self.link.is_none() {
             self.link = self.pool.take_idle(session, shape);
         }
-        let link = match self.link.take() {
-            Some(link) => link,
-            None => {
-                self.opened = true;
-                self.connect().await?
-            }
+        let link = if let Some(link) = self.link.take() {
+            link
+        } else {
+            self.opened = true;
+            self.connect().await?
         };
         Ok(self.link.insert(link))
     }
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -1,5 +1,6 @@
 //! Start of the VM and its main task.
 
+use std::cell::{Cell, RefCell};
 use std::path::Path;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -21,6 +22,9 @@
 use crate::http::{self, Probe};
 use crate::wall;
 
+/// VMs that are assumed to share the connections until they have been counted.
+const DEFAULT_VMS: usize = 10;
+
 /// Runs the VM until it is told to stop; true when no request was cut.
 pub fn run(settings: RelaySettings, path: &Path, log: Logger) -> Result<bool, Error> {
     let runtime = Builder::new_current_thread().enable_all().build()?;
@@ -63,24 +67,21 @@
         promotions,
         log,
         settings,
-        directory: Default::default(),
-        routes: Default::default(),
-        groups: Default::default(),
-        pools: Default::default(),
-        vms: std::cell::Cell::new(DEFAULT_VMS),
-        sessions: Default::default(),
+        directory: RefCell::default(),
+        routes: RefCell::default(),
+        groups: RefCell::default(),
+        pools: RefCell::default(),
+        vms: Cell::new(DEFAULT_VMS),
+        sessions: Cell::default(),
         changed: Notify::new(),
-        confirming: Default::default(),
+        confirming: RefCell::default(),
         received: Notify::new(),
         stage: watch::Sender::new(Stage::Serving),
-        listed: Default::default(),
+        listed: Cell::default(),
         ready: Arc::clone(ready),
     })
 }
 
-/// VMs that are assumed to share the connections until they have been counted.
-const DEFAULT_VMS: usize = 10;
-
 fn probe(ready: &Arc<AtomicBool>) -> Probe {
     let ready = Arc::clone(ready);
     Probe {
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -109,7 +109,7 @@
                     tries += 1;
                     sleep(BUSY_PAUSE).await;
                 }
-                Err((code, detail)) => return Err(aborted(&code, &detail)),
+                Err((code, detail)) => return Err(aborted(code, &detail)),
             }
         }
     }
@@ -253,7 +253,7 @@
     }
 }
 
-fn aborted(code: &Code, detail: &str) -> Failure {
+fn aborted(code: Code, detail: &str) -> Failure {
     Failure::new(Code::Aborted, format!("{code} {detail}"))
 }
 
--- a/chervildrift_standin/src/deployment/http.rs
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -68,8 +68,8 @@
             let token = head.headers.get("X-Chervildrift-Fencing-Token");
             let token = token.and_then(|it| it.to_str().ok()?.parse().ok());
             let id = call["id"].as_str().unwrap_or_default();
-            let taken = handle.promote(id, token.unwrap_or(0));
-            let status = if taken {
+            let accepted = handle.promote(id, token.unwrap_or(0));
+            let status = if accepted {
                 StatusCode::OK
             } else {
                 StatusCode::CONFLICT
--- a/chervildrift_standin/src/deployment/replies.rs
+++ b/chervildrift_standin/src/deployment/replies.rs
@@ -1,5 +1,7 @@
 //! Lines that a database sends.
 
+use std::fmt::Write;
+
 /// Writes a successful answer.
 pub(super) fn success(rows: &[String], signature: &str, out: &mut String) {
     for row in rows {
@@ -15,5 +17,6 @@
 
 /// Writes the end of an answer.
 pub(super) fn ready(state: char, position: (u64, u64), out: &mut String) {
-    out.push_str(&format!("READY {state} {}.{}\r\n", position.0, position.1));
+    // Writing to a string can't fail.
+    let _written = write!(out, "READY {state} {}.{}\r\n", position.0, position.1);
 }
