Hold callers until a VM that has just started has its configuration

Change: a session waits up to 1.5 s for the first configuration. Test: relay_stops early_caller, failed before.

--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -72,6 +72,7 @@
             "routes" => count);
         self.share_links();
         self.update_ready();
+        self.changed.notify_waiters();
     }
 
     /// Takes in a new or changed entry of an upstream.
--- a/chervildrift/src/relay/session.rs
+++ b/chervildrift/src/relay/session.rs
@@ -23,6 +23,9 @@
 /// Time for a caller's first message.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// Wait for the first configuration; callers give up after 2 s without an answer.
+const CONFIGURE_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Idle time of a transaction after which it is ended if the configuration states none.
 const TRANSACTION_IDLE: Duration = Duration::from_secs(30);
 
@@ -107,6 +110,7 @@
             return Ok(false);
         };
         self.database = database.into();
+        self.await_routes().await;
         if self.route().is_none() {
             let code = if self.node.routes.borrow().version() == 0 {
                 Code::Busy
@@ -122,6 +126,21 @@
         Ok(true)
     }
 
+    /// Waits for the first configuration, which a VM that has just started reads within moments.
+    async fn await_routes(&self) {
+        let configured = async {
+            loop {
+                let changed = self.node.changed.notified();
+                if self.node.routes.borrow().version() > 0 {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // Without a configuration in time the caller is told that the VM is busy.
+        let _configured = timeout(CONFIGURE_WAIT, configured).await;
+    }
+
     async fn next(&mut self) -> Next {
         let idle = self.node.routes.borrow().idle().unwrap_or(TRANSACTION_IDLE);
         let open = matches!(self.session.phase, Phase::Open(_));
--- a/chervildrift/tests/relay_stops.rs
+++ b/chervildrift/tests/relay_stops.rs
@@ -88,3 +88,23 @@
     let runs = fleet.platform.database.runs();
     assert!(runs[before..].iter().all(|it| it.member == 0));
 }
+
+/// Guards against callers that are refused while a VM that has just started reads its
+/// configuration.
+#[tokio::test(flavor = "multi_thread")]
+async fn early_caller() {
+    let mut fleet = Fleet::spawn(0, &Options::default()).await;
+    fleet.platform.store.set_down(true);
+    let callers = fleet.add("").callers;
+    await_true("listener", async || {
+        tokio::net::TcpStream::connect(callers).await.is_ok()
+    })
+    .await;
+    let early = tokio::spawn(async move {
+        let mut session = Session::connect(callers).await;
+        session.send("START strict tester").await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.platform.store.set_down(false);
+    assert_eq!(early.await.expect("an answer").end, "READY I -");
+}
