Let relaying VMs serve through each other while the store or an upstream is cut off

A VM that starts behind a cut to the store served nobody, and VMs cut off from a primary refused its work for the whole cut. Change: VMs keep a listener for each other (the platform's control address). One that can't read the store asks another for routes, upstreams and judgements of leaders; one VM a service claims its fencing token ahead, and may order a promotion without the store if a majority of the VMs agrees; an upstream that can't be dialled is reached through another VM. A suspected leader gets no statements, and all upstreams are probed meanwhile.

--- a/chervildrift/src/relay/confirm.rs
+++ b/chervildrift/src/relay/confirm.rs
@@ -152,7 +152,7 @@
 async fn ask(node: &Rc<Node>, upstream: &Upstream, commands: &[Command<'_>]) -> Option<Reply> {
     let exchange = async {
         let mut lease = node.pool(upstream)?.acquire(demand()).await.ok()?;
-        let link = lease.link(&Session::default(), None).await.ok()?;
+        let link = lease.link(node, &Session::default(), None).await.ok()?;
         let replies = link.run(commands, STATUS_LIMIT).await.ok()?;
         replies.into_iter().next()
     };
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{Case, Claim, Stance, Vote, furthest, stance};
-use chervildrift_core::types::{Role, Service, Time, Upstream};
+use chervildrift_core::types::{Role, Service, Time, Upstream, Vm};
 use chervildrift_platform::promotion::{Error as OrderError, Promotions};
 use chervildrift_platform::store::{Error, Listing, Transaction, Written};
 use futures::future::join_all;
@@ -15,11 +15,15 @@
 use super::clock;
 use super::confirm::received;
 use super::node::Node;
-use super::presence::{TABLE, live_vms, row};
+use super::peers;
+use super::presence::{TABLE, live_peers, row};
 
 /// Interval at which the votes are counted.
 const POLL: Duration = Duration::from_millis(150);
 
+/// Pause between two orders while the store is away; it covers the start of the new leader.
+const ORDER_PAUSE: Duration = Duration::from_secs(4);
+
 /// Interval at which a vote is renewed.
 const VOTE_RENEWAL: Duration = Duration::from_secs(1);
 
@@ -37,6 +41,10 @@
     planned: bool,
     started: Time,
     voted: Option<Time>,
+    /// When a promotion was last ordered.
+    ordered: Option<Time>,
+    /// Whether the loss of the store has been logged.
+    noted: bool,
 }
 
 /// What the store holds on a service.
@@ -63,6 +71,8 @@
         planned,
         started: clock::now(),
         voted: None,
+        ordered: None,
+        noted: false,
     };
     info!(node.log, "leader to be replaced"; "event" => "failover", "service" => %service,
         "leader" => leader.map(Upstream::as_str), "planned" => planned);
@@ -70,8 +80,13 @@
         match replacement.step(&promotions).await {
             Ok(pause) => sleep(pause).await,
             Err(err) => {
-                warn!(node.log, "failover waits for the store"; "event" => "failover",
-                    "service" => %service, "error" => %err);
+                if !replacement.noted {
+                    warn!(node.log, "failover without the store"; "event" => "failover",
+                        "service" => %service, "error" => %err,
+                        "claimed" => node.claims.borrow().contains_key(service));
+                    replacement.noted = true;
+                }
+                replacement.step_without_store(&promotions).await;
                 sleep(PAUSE).await;
             }
         }
@@ -96,7 +111,10 @@
         if !self.planned {
             self.vote(records.listing.now_ms).await?;
         }
-        let live = live_vms(&records.listing);
+        let live: Vec<Vm> = live_peers(&records.listing)
+            .into_iter()
+            .map(|it| it.vm)
+            .collect();
         let case = Case {
             leader: self.leader,
             planned: self.planned,
@@ -112,7 +130,14 @@
             Stance::Later(pause) => Ok(pause.min(POLL)),
             Stance::Claim(token) => {
                 let version = records.claim.map_or(0, |(_, version)| version);
-                if self.claim(token, version, records.listing.now_ms).await? {
+                let claim = Claim {
+                    vm: self.node.settings.vm.clone(),
+                    boot: self.node.boot,
+                    token,
+                    replaces: self.leader.cloned(),
+                    at: records.listing.now_ms,
+                };
+                if take_claim(self.node, self.service, &claim, version).await? {
                     self.promote(promotions, token).await;
                 }
                 Ok(POLL)
@@ -129,7 +154,7 @@
         let votes = votes
             .filter_map(|row| decode(row.value.as_deref()))
             .collect();
-        let key = self.claim_key();
+        let key = claim_key(self.service);
         let claim = listing.rows.iter().find(|row| row.key == key);
         let claim = claim.and_then(|row| Some((decode(row.value.as_deref())?, row.version)));
         Records {
@@ -139,10 +164,6 @@
         }
     }
 
-    fn claim_key(&self) -> String {
-        format!("claim/{}", self.service)
-    }
-
     async fn vote(&mut self, store_ms: u64) -> Result<(), Error> {
         let now = clock::now();
         if self.voted.is_some_and(|at| now.since(at) < VOTE_RENEWAL) {
@@ -162,35 +183,27 @@
         Ok(())
     }
 
-    /// Raises the fencing token; false if another VM was first.
-    async fn claim(&self, token: u64, version: u64, store_ms: u64) -> Result<bool, Error> {
-        let key = self.claim_key();
-        let claim = Claim {
-            vm: self.node.settings.vm.clone(),
-            boot: self.node.boot,
-            token,
-            replaces: self.leader.cloned(),
-            at: store_ms,
+    /// Orders a promotion under a token that this VM holds already, if the others agree.
+    async fn step_without_store(&mut self, promotions: &Promotions) {
+        let Some(token) = self.node.claims.borrow().get(self.service).copied() else {
+            return;
         };
-        let value = serde_json::to_vec(&claim).unwrap_or_default();
-        let write = Transaction::default()
-            .require(row(&key), version)
-            .put(row(&key), value);
-        let mut last = Error::NoAnswer;
-        for _ in 0..TRIES {
-            match self.node.store.write(&write).await {
-                Ok(Written::Done(_)) => return Ok(true),
-                Ok(Written::Conflict(listing)) => {
-                    // An earlier try may have taken effect without an answer.
-                    let held = listing.rows.iter().find(|row| row.key == key);
-                    let held: Option<Claim> = held.and_then(|row| decode(row.value.as_deref()));
-                    return Ok(held.is_some_and(|held| held == claim));
-                }
-                Err(err) => last = err,
+        let now = clock::now();
+        if self.ordered.is_some_and(|at| now.since(at) < ORDER_PAUSE) {
+            return;
+        }
+        if !self.planned {
+            let beliefs = peers::ask_all(self.node).await;
+            let agreeing = beliefs
+                .iter()
+                .filter(|it| it.agrees(self.service, self.leader));
+            // This VM itself counts as well.
+            if (agreeing.count() + 1) * 2 <= self.node.vms.get() {
+                return;
             }
-            sleep(PAUSE).await;
         }
-        Err(last)
+        self.ordered = Some(now);
+        self.promote(promotions, token).await;
     }
 
     async fn promote(&self, promotions: &Promotions, token: u64) {
@@ -207,7 +220,11 @@
                 "replaces" => self.leader.map(Upstream::as_str), "attempt" => attempt,
                 "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
             match order {
-                Ok(()) | Err(OrderError::Conflict | OrderError::Rejected(_)) => return,
+                Ok(()) => return,
+                Err(OrderError::Conflict | OrderError::Rejected(_)) => {
+                    self.node.claims.borrow_mut().remove(self.service);
+                    return;
+                }
                 Err(_) => sleep(PAUSE).await,
             }
         }
@@ -235,6 +252,86 @@
     }
 }
 
+fn claim_key(service: &Service) -> String {
+    format!("claim/{service}")
+}
+
+/// Raises the fencing token of a service; false if another VM was first.
+async fn take_claim(
+    node: &Node,
+    service: &Service,
+    claim: &Claim,
+    version: u64,
+) -> Result<bool, Error> {
+    let key = claim_key(service);
+    let value = serde_json::to_vec(claim).unwrap_or_default();
+    let write = Transaction::default()
+        .require(row(&key), version)
+        .put(row(&key), value);
+    let mut last = Error::NoAnswer;
+    for _ in 0..TRIES {
+        let taken = match node.store.write(&write).await {
+            Ok(Written::Done(_)) => true,
+            Ok(Written::Conflict(listing)) => {
+                // An earlier try may have taken effect without an answer.
+                let held = listing.rows.iter().find(|row| row.key == key);
+                let held: Option<Claim> = held.and_then(|row| decode(row.value.as_deref()));
+                held.is_some_and(|held| held == *claim)
+            }
+            Err(err) => {
+                last = err;
+                sleep(PAUSE).await;
+                continue;
+            }
+        };
+        if taken {
+            info!(node.log, "service claimed"; "event" => "claim", "service" => %service,
+                "token" => claim.token);
+            node.claims
+                .borrow_mut()
+                .insert(service.clone(), claim.token);
+        }
+        return Ok(taken);
+    }
+    Err(last)
+}
+
+/// Claims services ahead of any need, so that a leader can be replaced while the store is away.
+///
+/// The first VM in a service's order does so once the holder of the last claim no longer runs.
+pub(super) async fn hold_claims(node: &Node, listing: &Listing) {
+    let live: Vec<Vm> = live_peers(listing).into_iter().map(|it| it.vm).collect();
+    let services = node.routes.borrow().services();
+    for service in services {
+        let key = claim_key(&service);
+        let held = listing.rows.iter().find(|row| row.key == key);
+        let version = held.map_or(0, |row| row.version);
+        let held: Option<Claim> = held.and_then(|row| decode(row.value.as_deref()));
+        let mine = |it: &Claim| it.vm == node.settings.vm && it.boot == node.boot;
+        if !held.as_ref().is_some_and(mine) {
+            node.claims.borrow_mut().remove(&service);
+        }
+        let spread = chervildrift_core::placement::digest(service.as_str());
+        let first = live.get((spread % live.len().max(1) as u64) as usize);
+        let vacant = held.as_ref().is_none_or(|it| !live.contains(&it.vm));
+        if first != Some(&node.settings.vm) || !vacant {
+            continue;
+        }
+        let claim = Claim {
+            vm: node.settings.vm.clone(),
+            boot: node.boot,
+            token: held.map_or(0, |it| it.token) + 1,
+            replaces: None,
+            // Nothing was ordered under the claim, so a failover need not wait for it.
+            at: 0,
+        };
+        if let Err(err) = take_claim(node, &service, &claim, version).await {
+            warn!(node.log, "service not claimed"; "event" => "claim", "service" => %service,
+                "error" => %err);
+        }
+    }
+}
+
 /// Reads a record; one that can't be read counts as absent.
 fn decode<T: DeserializeOwned>(value: Option<&[u8]>) -> Option<T> {
     serde_json::from_slice(value?).ok()
--- a/chervildrift/src/relay/keeper.rs
+++ b/chervildrift/src/relay/keeper.rs
@@ -73,16 +73,17 @@
             probe(node, running, service, leader.clone());
         }
         Some(_) => {}
-        None => {
-            node.with_group(service, |group| group.note_absence(now));
-            let known: Vec<Upstream> = {
-                let directory = node.directory.borrow();
-                let entries = directory.of(service);
-                entries.map(|it| it.upstream.clone()).collect()
-            };
-            for upstream in known {
-                probe(node, running, service, upstream);
-            }
+        None => node.with_group(service, |group| group.note_absence(now)),
+    }
+    if leader.is_none() || suspected {
+        // Another one may lead already without any report, such as while the store is away.
+        let known: Vec<Upstream> = {
+            let directory = node.directory.borrow();
+            let entries = directory.of(service);
+            entries.map(|it| it.upstream.clone()).collect()
+        };
+        for upstream in known {
+            probe(node, running, service, upstream);
         }
     }
     if let Some(challenger) = node.challenger(service) {
@@ -121,7 +122,7 @@
         return;
     };
     let session = Session::default();
-    let link = match lease.link(&session, None).await {
+    let link = match lease.link(node, &session, None).await {
         Ok(link) => link,
         // An upstream that refuses a connection is alive.
         Err(LinkError::Refused(..)) => return,
@@ -150,7 +151,7 @@
             });
             node.take_sample(service, upstream, asked, mark);
         }
-        (Err((Code::ReadOnly, _)), _) => node.refused_lead(service, upstream),
+        (Err((Code::ReadOnly, _)), _) => node.refused_lead(service, asked, upstream),
         _ => {}
     }
 }
--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -24,7 +24,7 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
 /// Time for an upstream to take a connection, which waits for one of its slots.
-const OPEN_LIMIT: Duration = Duration::from_secs(1);
+const OPEN_LIMIT: Duration = Duration::from_millis(700);
 
 /// Time after which an idle connection is probed, and between probes.
 const KEEPALIVE: Duration = Duration::from_secs(1);
@@ -48,6 +48,10 @@
         Broken(reason: String) {
             display("connection broke: {reason}")
         }
+        /// The upstream was replaced before anything was sent.
+        Replaced {
+            display("replaced before anything was sent")
+        }
         /// No answer came in time.
         Silent {
             display("no answer in time")
@@ -84,18 +88,22 @@
 }
 
 impl Link {
-    /// Opens a connection; also returns the time that a message takes there and back.
-    pub(super) async fn open(
-        address: SocketAddr,
-        service: &Service,
-        upstream: &Upstream,
-        tally: Rc<()>,
-    ) -> Result<(Self, Duration), LinkError> {
+    /// Connects to an upstream; also returns the time that a message takes there and back.
+    pub(super) async fn connect(address: SocketAddr) -> Result<(TcpStream, Duration), LinkError> {
         let asked = clock::now();
         let connect = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
         let connect = connect.map_err(|_elapsed| LinkError::Connect("timeout".into()))?;
         let stream = connect.map_err(|err| LinkError::Connect(err.to_string()))?;
-        let distance = clock::now().since(asked);
+        Ok((stream, clock::now().since(asked)))
+    }
+
+    /// Opens a connection with an upstream over a stream to it.
+    pub(super) async fn open(
+        stream: TcpStream,
+        service: &Service,
+        upstream: &Upstream,
+        tally: Rc<()>,
+    ) -> Result<Self, LinkError> {
         let broken = |err: std::io::Error| LinkError::Broken(err.to_string());
         stream.set_nodelay(true).map_err(broken)?;
         let keepalive = TcpKeepalive::new()
@@ -112,7 +120,7 @@
             prepared: HashSet::new(),
             pending: 1,
             state: State::Idle,
-            used: asked,
+            used: clock::now(),
             _tally: tally,
         };
         let mut out = String::new();
@@ -120,7 +128,7 @@
         timeout(OPEN_LIMIT, link.greet(&out))
             .await
             .map_err(|_elapsed| LinkError::Silent)??;
-        Ok((link, distance))
+        Ok(link)
     }
 
     async fn greet(&mut self, start: &str) -> Result<(), LinkError> {
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod link;
 mod listener;
 mod node;
+mod peers;
 mod pool;
 mod presence;
 mod session;
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -9,7 +9,7 @@
 
 use chervildrift_core::config::RelaySettings;
 use chervildrift_core::relay::{
-    Code, Directory, Entry, Group, RouteTable, Routes, links_each, policy,
+    Code, Directory, Entry, Group, Peer, RouteTable, Routes, links_each, policy,
 };
 use chervildrift_core::types::{Mark, Service, Time, Upstream, Zone};
 use chervildrift_platform::promotion::Promotions;
@@ -29,6 +29,9 @@
 /// Assumed time of a message there and back between regions, until a connection was made.
 const FAR: Duration = Duration::from_millis(50);
 
+/// Interval at which a suspected leader is looked at by those who wait.
+const LEADER_POLL: Duration = Duration::from_millis(50);
+
 /// Connections to one upstream while the configuration names no limit.
 const DEFAULT_CONNECTIONS: usize = 8;
 
@@ -45,8 +48,14 @@
     pub routes: RefCell<RouteTable>,
     pub groups: RefCell<HashMap<Service, Group>>,
     pub pools: RefCell<HashMap<Upstream, Rc<Pool>>>,
+    /// VMs that run, this one included.
+    pub peers: RefCell<Vec<Peer>>,
     /// VMs that share the connections, this one included.
     pub vms: Cell<usize>,
+    /// Since when calls to the store have failed.
+    pub lost: Cell<Option<Time>>,
+    /// Fencing tokens of the services that this VM may order promotions of.
+    pub claims: RefCell<HashMap<Service, u64>>,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
     /// Wakes those who wait for a leader.
@@ -155,15 +164,16 @@
     }
 
     /// Notes that an upstream refused to lead.
-    pub(super) fn refused_lead(&self, service: &Service, upstream: &Upstream) {
+    pub(super) fn refused_lead(&self, service: &Service, asked: Time, upstream: &Upstream) {
         let entry = self.directory.borrow().get(upstream).cloned();
         let version = entry.map_or(0, |entry| entry.version);
         if let Some(group) = self.groups.borrow_mut().get_mut(service) {
-            if group.leader() == Some(upstream) {
+            let led = group.leader() == Some(upstream);
+            group.refuse(asked, upstream, version);
+            if led && group.leader().is_none() {
                 info!(self.log, "leader lost"; "event" => "leader", "service" => %service,
                     "upstream" => %upstream, "reason" => "refused");
             }
-            group.refuse(upstream, version);
         }
         self.follow_reports(service);
     }
@@ -191,7 +201,7 @@
         run(self.groups.borrow_mut().entry(service.clone()).or_default())
     }
 
-    /// Returns the leader of a service, or waits for one for a while.
+    /// Returns the leader of a service, or waits for one that is not suspected for a while.
     pub(super) async fn leader(
         &self,
         service: &Service,
@@ -200,11 +210,13 @@
         let find = async {
             loop {
                 let changed = self.changed.notified();
-                let leader = self.with_group(service, |group| group.leader().cloned());
+                let now = clock::now();
+                let leader = self.with_group(service, |group| group.trusted(now).cloned());
                 if let Some(leader) = leader {
                     return leader;
                 }
-                changed.await;
+                // A suspected leader may also answer again, which nobody announces.
+                let _announced = timeout(LEADER_POLL, changed).await;
             }
         };
         let found = timeout(limit, find).await;
@@ -226,6 +238,23 @@
             .unwrap_or_else(|| if same() { NEAR } else { FAR })
     }
 
+    /// Tells whether the store has not answered for a time.
+    pub(super) fn store_silent(&self, limit: Duration) -> bool {
+        self.lost
+            .get()
+            .is_some_and(|lost| clock::now().since(lost) >= limit)
+    }
+
+    /// Takes in the VMs that run.
+    pub(super) fn take_peers(&self, peers: Vec<Peer>) {
+        let others = peers.iter().filter(|it| it.vm != self.settings.vm).count();
+        self.peers.replace(peers);
+        if self.vms.replace(others + 1) != others + 1 {
+            info!(self.log, "fleet changed"; "event" => "presence", "vms" => others + 1);
+            self.share_links();
+        }
+    }
+
     /// Shares out the connections of all upstreams anew.
     pub(super) fn share_links(&self) {
         let entries: Vec<Entry> = self.directory.borrow().iter().cloned().collect();
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -2,21 +2,32 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use chervildrift_core::dispatch::{Finish, Job, JobId, Policy, Refusal, Scheduler};
 use chervildrift_core::relay::{Code, Entry, LinkLimit, Session, Shape};
-use chervildrift_core::types::{Caller, Kind, Rank, Time};
+use chervildrift_core::types::{Caller, Kind, Rank, Service, Time, Upstream};
+use slog::info;
+use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use super::clock;
 use super::link::{Link, LinkError};
+use super::node::Node;
+use super::peers;
 
 /// Time after which an idle connection is closed.
 const IDLE_LIMIT: Duration = Duration::from_secs(2);
 
+/// Time for which an upstream is reached through other VMs before it is dialled again.
+const DETOUR: Duration = Duration::from_secs(2);
+
+/// Other VMs that are tried for one connection.
+const WAYS: usize = 2;
+
 /// Shared connections to one upstream.
 #[derive(Debug)]
 pub(super) struct Pool {
@@ -32,6 +43,8 @@
     next: Cell<u64>,
     /// Time of a message there and back, once a connection was made.
     distance: Cell<Option<Duration>>,
+    /// Since when the upstream has been reached through other VMs.
+    detour: Cell<Option<Time>>,
     /// When the upstream last lacked a position.
     pub lagged: Cell<Option<Time>>,
     /// When the upstream last gave no answer.
@@ -76,6 +89,7 @@
             idle: RefCell::default(),
             next: Cell::new(0),
             distance: Cell::new(None),
+            detour: Cell::new(None),
             lagged: Cell::new(None),
             failed: Cell::new(None),
             retired: Cell::new(false),
@@ -248,6 +262,7 @@
     /// Returns the connection, which is opened if no idle one is left.
     pub(super) async fn link(
         &mut self,
+        node: &Node,
         session: &Session,
         shape: Option<&Shape>,
     ) -> Result<&mut Link, LinkError> {
@@ -258,27 +273,56 @@
             link
         } else {
             self.opened = true;
-            self.connect().await?
+            self.connect(node).await?
         };
         Ok(self.link.insert(link))
     }
 
-    async fn connect(&self) -> Result<Link, LinkError> {
+    async fn connect(&self, node: &Node) -> Result<Link, LinkError> {
         let (address, service, upstream) = {
             let entry = self.pool.entry.borrow();
             (entry.address, entry.service.clone(), entry.upstream.clone())
         };
         let tally = Rc::clone(&self.pool.tally);
-        let opened = Link::open(address, &service, &upstream, tally).await;
+        let stream = match self.pool.detour.get() {
+            Some(since) if clock::now().since(since) < DETOUR => {
+                detour(node, &upstream).await.ok_or_else(no_way)?
+            }
+            _ => self.dial(node, address, &service, &upstream).await?,
+        };
+        let opened = Link::open(stream, &service, &upstream, tally).await;
         if let Err(LinkError::Refused(Code::Overloaded, _)) = &opened {
             self.pool.note_overload();
         }
-        let (link, took) = opened?;
-        let known = self.pool.distance.get();
-        self.pool
-            .distance
-            .set(Some(known.map_or(took, |known| known.min(took))));
-        Ok(link)
+        opened
+    }
+
+    /// Connects directly, or through another VM if that fails.
+    async fn dial(
+        &self,
+        node: &Node,
+        address: SocketAddr,
+        service: &Service,
+        upstream: &Upstream,
+    ) -> Result<TcpStream, LinkError> {
+        let err = match Link::connect(address).await {
+            Ok((stream, took)) => {
+                let known = self.pool.distance.get();
+                let least = known.map_or(took, |known| known.min(took));
+                self.pool.distance.set(Some(least));
+                self.pool.detour.set(None);
+                return Ok(stream);
+            }
+            Err(err) => err,
+        };
+        node.with_group(service, |group| group.miss(upstream));
+        let Some(stream) = detour(node, upstream).await else {
+            return Err(err);
+        };
+        info!(node.log, "upstream reached through a peer"; "event" => "detour",
+            "upstream" => %upstream, "error" => %err);
+        self.pool.detour.set(Some(clock::now()));
+        Ok(stream)
     }
 
     /// Notes how the work ended, which the estimates of service times follow.
@@ -294,6 +338,20 @@
     }
 }
 
+/// Connects to an upstream through another VM.
+async fn detour(node: &Node, upstream: &Upstream) -> Option<TcpStream> {
+    for peer in peers::ways(node, upstream).into_iter().take(WAYS) {
+        if let Some(stream) = peers::tunnel(&peer, upstream).await {
+            return Some(stream);
+        }
+    }
+    None
+}
+
+fn no_way() -> LinkError {
+    LinkError::Connect("not reached through other VMs".into())
+}
+
 impl Drop for Lease {
     fn drop(&mut self) {
         self.pool.take_back(self.id, self.link.take(), self.finish);
--- a/chervildrift/src/relay/presence.rs
+++ b/chervildrift/src/relay/presence.rs
@@ -3,12 +3,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Presence, live};
+use chervildrift_core::relay::{Peer, Presence, live};
 use chervildrift_core::types::Vm;
 use chervildrift_platform::store::{Key, Listing, Transaction};
-use slog::{info, warn};
+use slog::warn;
 use tokio::time::sleep;
 
+use super::failover;
 use super::node::Node;
 
 /// Table of the VMs' own records.
@@ -47,11 +48,11 @@
     }
 }
 
-async fn renew(node: &Node) -> bool {
+async fn renew(node: &Rc<Node>) -> bool {
     let renewal = async {
         let listing = node.store.list(TABLE).await?;
         let record = Presence {
-            vm: node.settings.vm.clone(),
+            peer: me(node),
             at: listing.now_ms,
         };
         let key = key(&node.settings.vm);
@@ -62,7 +63,12 @@
     };
     match renewal.await {
         Ok(listing) => {
-            count(node, &listing);
+            let mut peers = live_peers(&listing);
+            if !peers.iter().any(|it| it.vm == node.settings.vm) {
+                peers.push(me(node));
+            }
+            node.take_peers(peers);
+            failover::hold_claims(node, &listing).await;
             true
         }
         Err(err) => {
@@ -72,19 +78,16 @@
     }
 }
 
-fn count(node: &Node, listing: &Listing) {
-    let mut vms = live_vms(listing);
-    if !vms.contains(&node.settings.vm) {
-        vms.push(node.settings.vm.clone());
-    }
-    if node.vms.replace(vms.len()) != vms.len() {
-        info!(node.log, "fleet changed"; "event" => "presence", "vms" => vms.len());
-        node.share_links();
+fn me(node: &Node) -> Peer {
+    Peer {
+        vm: node.settings.vm.clone(),
+        zone: node.settings.zone.clone(),
+        address: node.settings.peers,
     }
 }
 
 /// Returns the VMs that run by a listing of the table.
-pub(super) fn live_vms(listing: &Listing) -> Vec<Vm> {
+pub(super) fn live_peers(listing: &Listing) -> Vec<Peer> {
     let rows = listing
         .rows
         .iter()
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -18,7 +18,7 @@
 use super::answer::{Answer, Failure};
 use super::clock;
 use super::confirm::{Commit, confirm};
-use super::link::{LinkError, Reply};
+use super::link::{Link, LinkError, Reply};
 use super::node::Node;
 use super::pool::{Demand, Lease};
 use super::transaction::staleness;
@@ -219,6 +219,35 @@
         })
     }
 
+    /// Returns the connection of a lease; given up once a target that led is replaced, since
+    /// nothing has been sent yet.
+    pub(super) async fn open_link<'l>(
+        &self,
+        target: &Target,
+        lease: &'l mut Lease,
+        session: &Session,
+        shape: Option<&Shape>,
+    ) -> Result<&'l mut Link, LinkError> {
+        let replaced = async {
+            loop {
+                let changed = self.node.changed.notified();
+                let led = self.node.with_group(&self.route.service, |group| {
+                    group
+                        .leader()
+                        .is_none_or(|leader| *leader == target.upstream)
+                });
+                if target.floor == Floor::Leader && !led {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        tokio::select! {
+            link = lease.link(self.node, session, shape) => link,
+            () = replaced => Err(LinkError::Replaced),
+        }
+    }
+
     /// Takes in that a leader has answered.
     pub(super) fn observe(&self, target: &Target, asked: Time, mark: Option<Mark>) {
         if target.floor == Floor::Leader
@@ -246,13 +275,14 @@
         &mut self,
         target: &Target,
         refusal: Option<(Code, String)>,
+        asked: Time,
     ) -> Result<(), Failure> {
         let (code, detail) = refusal.unwrap_or((Code::Failed, String::new()));
         let pool = self.node.pool(&target.upstream);
         match code {
             Code::ReadOnly => self
                 .node
-                .refused_lead(&self.route.service, &target.upstream),
+                .refused_lead(&self.route.service, asked, &target.upstream),
             Code::Lagging => {
                 self.avoided.push(target.upstream.clone());
                 if let Some(pool) = pool {
@@ -279,8 +309,13 @@
         err: &LinkError,
         asked: Time,
     ) -> Result<(), Failure> {
+        if matches!(err, LinkError::Replaced) {
+            return Ok(());
+        }
         if let LinkError::Refused(code, detail) = err {
-            return self.refused(target, Some((*code, detail.clone()))).await;
+            return self
+                .refused(target, Some((*code, detail.clone())), asked)
+                .await;
         }
         self.node
             .with_group(&self.route.service, |group| group.miss(&target.upstream));
@@ -325,7 +360,10 @@
     let target = turn.target(single.access, session).await?;
     let mut lease = turn.acquire(&target).await?;
     let asked = clock::now();
-    let link = match lease.link(session, single.shape).await {
+    let opened = turn
+        .open_link(&target, &mut lease, session, single.shape)
+        .await;
+    let link = match opened {
         Ok(link) => link,
         Err(err) => return turn.lost(&target, &err, asked).await.map(|()| Tried::Again),
     };
@@ -387,7 +425,7 @@
     if wrapped && let Some(begin) = replies.next() {
         if let Err(refusal) = begin.result {
             // The read ran outside a transaction, so its answer proves nothing.
-            turn.refused(target, Some(refusal)).await?;
+            turn.refused(target, Some(refusal), asked).await?;
             return Ok(Tried::Again);
         }
         turn.observe(target, asked, begin.mark);
@@ -423,7 +461,7 @@
             Ok(Tried::Again)
         }
         Err(refusal) => {
-            turn.refused(target, Some(refusal)).await?;
+            turn.refused(target, Some(refusal), asked).await?;
             Ok(Tried::Again)
         }
     }
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -18,7 +18,7 @@
 
 use super::node::Node;
 use super::stop::{self, Stage};
-use super::{Error, keeper, listener, presence, watch as follow};
+use super::{Error, keeper, listener, peers, presence, watch as follow};
 use crate::http::{self, Probe};
 use crate::wall;
 
@@ -38,6 +38,7 @@
     let ready = Arc::new(AtomicBool::new(false));
     let operators = http::bind_operators(settings.operators, probe(&ready))?;
     let callers = TcpListener::bind(settings.callers).await?;
+    let peer_listener = TcpListener::bind(settings.peers).await?;
     let node = Rc::new(open(settings, log, &ready)?);
     info!(node.log, "started"; "event" => "start", "callers" => %node.settings.callers,
         "operators" => %node.settings.operators, "store" => %node.settings.store);
@@ -45,6 +46,8 @@
     spawn_local(follow::upstreams(Rc::clone(&node)));
     spawn_local(follow::expire(Rc::clone(&node)));
     spawn_local(presence::keep(Rc::clone(&node)));
+    spawn_local(peers::accept(Rc::clone(&node), peer_listener));
+    spawn_local(peers::follow(Rc::clone(&node)));
     spawn_local(keeper::keep(Rc::clone(&node)));
     spawn_local(listener::accept(Rc::clone(&node), callers));
     loop {
@@ -71,7 +74,10 @@
         routes: RefCell::default(),
         groups: RefCell::default(),
         pools: RefCell::default(),
+        peers: RefCell::default(),
         vms: Cell::new(DEFAULT_VMS),
+        lost: Cell::default(),
+        claims: RefCell::default(),
         sessions: Cell::default(),
         changed: Notify::new(),
         confirming: RefCell::default(),
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -226,7 +226,7 @@
         session: &Session,
     ) -> Result<bool, Failure> {
         let asked = clock::now();
-        let link = match lease.link(session, None).await {
+        let link = match turn.open_link(target, lease, session, None).await {
             Ok(link) => link,
             Err(err) => return turn.lost(target, &err, asked).await.map(|()| false),
         };
@@ -243,7 +243,7 @@
                     Ok(true)
                 }
                 Some(reply) => turn
-                    .refused(target, reply.result.err())
+                    .refused(target, reply.result.err(), asked)
                     .await
                     .map(|()| false),
                 None => Ok(false),
--- a/chervildrift/src/relay/watch.rs
+++ b/chervildrift/src/relay/watch.rs
@@ -42,12 +42,16 @@
     loop {
         match step(&node, table, &mut at, &list, &change).await {
             Ok(()) => {
+                node.lost.set(None);
                 if failures > 0 {
                     info!(node.log, "store answers again"; "event" => "store", "table" => table);
                 }
                 failures = 0;
             }
             Err(err) => {
+                if node.lost.get().is_none() {
+                    node.lost.set(Some(clock::now()));
+                }
                 if failures == 0 {
                     warn!(node.log, "store lost"; "event" => "store", "table" => table,
                         "error" => %err);
--- /dev/null
+++ b/chervildrift/tests/relay_peers.rs
@@ -0,0 +1,98 @@
+//! What relaying VMs do for each other while one can't reach the store or an upstream.
+
+mod relayed;
+
+use std::net::Ipv4Addr;
+use std::time::{Duration, Instant};
+
+use chervildrift_standin::deployment::Options;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpStream};
+
+use relayed::{Fleet, Session, await_true};
+
+/// Longest gap in service at a failover, from the design's targets.
+const GAP: Duration = Duration::from_secs(3);
+
+/// Guards against a VM that starts behind a cut to the store and serves nobody, and against one
+/// that keeps an old configuration there.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_cut() {
+    let mut fleet = Fleet::spawn(1, &Options::default()).await;
+    // Bound and never accepted from, so that calls to it hang.
+    let hole = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+        .await
+        .expect("a listener");
+    fleet.store = hole.local_addr().expect("an address");
+    let seeds = format!("seeds: [\"{}\"]\n", fleet.vms[0].peers);
+    fleet.add(&seeds);
+    fleet.vms[1].await_ready(true).await;
+    let mut session = fleet.vms[1].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    assert_eq!(session.run("READ x").await.rows, ["1"]);
+    fleet.platform.configure(2, &[("late", "primary", 0)]);
+    let cut = fleet.vms[1].callers;
+    await_true("new route", async || {
+        let mut probe = Session::connect(cut).await;
+        probe.send("START late tester").await.end == "READY I -"
+    })
+    .await;
+}
+
+/// Guards against a primary that stays dead for as long as the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn storeless_failover() {
+    let fleet = Fleet::spawn(3, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    let logged = |vm: &relayed::Vm, event: &str, field: &str, value: u64| {
+        let log = vm.log();
+        let mut lines = log.iter().rev().filter(|line| line["event"] == event);
+        lines.next().is_some_and(|line| line[field] == value)
+    };
+    await_true("fleet of three with a claim", async || {
+        let vms = &fleet.vms;
+        vms.iter().all(|vm| logged(vm, "presence", "vms", 3))
+            && vms.iter().any(|vm| logged(vm, "claim", "token", 1))
+    })
+    .await;
+    fleet.platform.store.set_down(true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.platform.database.set_dark(0, true);
+    let start = Instant::now();
+    await_true("new primary", async || {
+        fleet.platform.database.primary() != Some(0)
+    })
+    .await;
+    assert!(start.elapsed() <= GAP, "{:?}", start.elapsed());
+    let answer = session.run("WRITE x 2").await;
+    assert!(answer.is_signed(), "{answer:?} {:#?}", fleet.vms[0].log());
+}
+
+/// Guards against a VM that is cut off from an upstream which its peers can reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn tunnelled_upstream() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let ask = async |question: &str| {
+        let stream = TcpStream::connect(fleet.vms[0].peers)
+            .await
+            .expect("a peer");
+        let mut lines = BufReader::new(stream).lines();
+        let out = format!("{question}\n");
+        lines
+            .get_mut()
+            .write_all(out.as_bytes())
+            .await
+            .expect("sent");
+        let answer = lines.next_line().await.ok().flatten();
+        (lines, answer)
+    };
+    let (mut lines, answer) = ask("TUNNEL i-0").await;
+    assert_eq!(answer.as_deref(), Some("CONNECTED"));
+    let start = b"START ledger tester i-0\r\n";
+    lines.get_mut().write_all(start).await.expect("sent");
+    let ready = lines.next_line().await.ok().flatten();
+    assert_eq!(ready.as_deref(), Some("READY I 1.0"));
+    assert_eq!(ask("TUNNEL elsewhere").await.1, None);
+    assert_eq!(ask("NONSENSE").await.1, None);
+}
--- a/chervildrift/tests/relayed/mod.rs
+++ b/chervildrift/tests/relayed/mod.rs
@@ -31,6 +31,7 @@
     child: Child,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
+    pub peers: SocketAddr,
     log: PathBuf,
 }
 
@@ -46,6 +47,8 @@
 pub struct Fleet {
     pub platform: Handle,
     pub vms: Vec<Vm>,
+    /// Address of the store for VMs that are added.
+    pub store: SocketAddr,
 }
 
 impl Fleet {
@@ -59,6 +62,7 @@
         let platform = deployment::spawn(options).await.expect("a deployment");
         platform.configure(1, &ROUTES);
         let mut fleet = Self {
+            store: platform.address,
             platform,
             vms: Vec::new(),
         };
@@ -78,7 +82,8 @@
         let [.., high, low] = std::process::id().to_be_bytes();
         // Nobody else uses this address, so that no other test takes its ports.
         let host = Ipv4Addr::new(127, 128 | (high & 63), low, number);
-        let [callers, operators] = [PORT, PORT + 1].map(|port| SocketAddr::from((host, port)));
+        let [callers, operators, peers] =
+            [PORT, PORT + 1, PORT + 2].map(|port| SocketAddr::from((host, port)));
         let path = |kind: &str| {
             let name = format!("relay-{}-{number}.{kind}", std::process::id());
             std::env::temp_dir().join(name)
@@ -86,8 +91,8 @@
         let (settings, log) = (path("yaml"), path("log"));
         let text = format!(
             "vm: vm-{number}\nzone: north\nregions: {{north: isle}}\ncallers: \"{callers}\"\n\
-             operators: \"{operators}\"\nstore: \"{0}\"\npromotions: \"{0}\"\ngrace_s: 3\n{more}",
-            self.platform.address
+             operators: \"{operators}\"\npeers: \"{peers}\"\nstore: \"{}\"\npromotions: \"{}\"\ngrace_s: 3\n{more}",
+            self.store, self.platform.address
         );
         std::fs::write(&settings, text).expect("writes the settings");
         let child = Command::new(env!("CARGO_BIN_EXE_chervildrift"))
@@ -101,6 +106,7 @@
             child,
             callers,
             operators,
+            peers,
             log,
         });
         self.vms.last().expect("a VM was added")
--- a/chervildrift_core/src/config/relay.rs
+++ b/chervildrift_core/src/config/relay.rs
@@ -23,6 +23,11 @@
     pub callers: SocketAddr,
     /// Address of the operators' listener.
     pub operators: SocketAddr,
+    /// Address of the listener for other VMs.
+    pub peers: SocketAddr,
+    /// Listeners of other VMs to ask while the platform's store can't be read.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// Address that takes orders to promote an upstream, if the platform takes any.
--- a/chervildrift_core/src/relay/directory.rs
+++ b/chervildrift_core/src/relay/directory.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::types::{Role, Service, Time, Upstream, Zone};
 
 /// Time for which an upstream is kept after its entry has gone.
@@ -19,7 +21,7 @@
 const LAPSE_LEAVING: Duration = Duration::from_millis(2_200);
 
 /// An upstream as the platform lists it.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
     /// Name of the upstream.
     pub upstream: Upstream,
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -60,6 +60,8 @@
     leader: Option<Upstream>,
     epoch: u64,
     samples: VecDeque<Sample>,
+    /// When the leader became leader.
+    led: Time,
     /// When the leader last answered, or became leader.
     heard: Time,
     misses: u32,
@@ -78,6 +80,12 @@
         self.leader.as_ref()
     }
 
+    /// Returns the leader unless it is suspected.
+    #[must_use]
+    pub fn trusted(&self, now: Time) -> Option<&Upstream> {
+        self.leader.as_ref().filter(|_| !self.suspects(now))
+    }
+
     /// Returns the number of leaderships seen, which tags the commits of sessions.
     #[must_use]
     pub const fn epoch(&self) -> u64 {
@@ -93,6 +101,7 @@
         self.epoch += 1;
         self.samples.clear();
         self.received.clear();
+        self.led = now;
         self.heard = now;
         self.misses = 0;
         self.lost = None;
@@ -100,8 +109,14 @@
         true
     }
 
-    /// Notes that an upstream refused to lead while its entry had this version.
-    pub fn refuse(&mut self, upstream: &Upstream, version: u64) {
+    /// Notes that an upstream refused to lead, asked at `asked` and while its entry had this
+    /// version.
+    ///
+    /// A refusal of what was asked before the upstream became leader says nothing.
+    pub fn refuse(&mut self, asked: Time, upstream: &Upstream, version: u64) {
+        if self.leader.as_ref() == Some(upstream) && asked < self.led {
+            return;
+        }
         self.refused.retain(|(name, _)| name != upstream);
         self.refused.push((upstream.clone(), version));
         self.drop_leader(upstream);
--- a/chervildrift_core/src/relay/membership.rs
+++ b/chervildrift_core/src/relay/membership.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::Vm;
+use super::beliefs::Peer;
 
 /// Age from which a VM's record no longer counts; two of its renewals may be lost.
 const PRESENCE_KEPT: Duration = Duration::from_secs(25);
@@ -16,25 +16,22 @@
 /// Record by which a VM shows that it runs.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Presence {
-    /// Name of the VM.
-    pub vm: Vm,
+    /// The VM.
+    pub peer: Peer,
     /// Time of the platform's store at the renewal, in milliseconds.
     pub at: u64,
 }
 
 /// Returns the VMs that run, in the order of their names.
 #[must_use]
-pub fn live(records: &[Presence], store_ms: u64) -> Vec<Vm> {
+pub fn live(records: &[Presence], store_ms: u64) -> Vec<Peer> {
     let fresh =
         |it: &&Presence| Duration::from_millis(store_ms.saturating_sub(it.at)) < PRESENCE_KEPT;
-    let mut names: Vec<Vm> = records
-        .iter()
-        .filter(fresh)
-        .map(|it| it.vm.clone())
-        .collect();
-    names.sort();
-    names.dedup();
-    names
+    let fresh = records.iter().filter(fresh);
+    let mut peers: Vec<Peer> = fresh.map(|it| it.peer.clone()).collect();
+    peers.sort_by(|a, b| a.vm.cmp(&b.vm));
+    peers.dedup_by(|a, b| a.vm == b.vm);
+    peers
 }
 
 /// Returns the connections that one of `vms` may hold to an upstream that takes `limit`.
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -6,6 +6,7 @@
 //! reads at the primary run inside a transaction, which an upstream that has lost its lead refuses.
 
 mod admission;
+mod beliefs;
 mod choice;
 mod code;
 mod directory;
@@ -18,6 +19,7 @@
 mod statement;
 
 pub use self::admission::{PROBE, policy};
+pub use self::beliefs::{Beliefs, Judgement, Peer};
 pub use self::choice::{Candidate, choose};
 pub use self::code::Code;
 pub use self::directory::{Directory, Entry};
--- a/chervildrift_core/src/relay/route.rs
+++ b/chervildrift_core/src/relay/route.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::types::{Kind, Rank, Service};
 
 /// What a read of a route must see.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Consistency {
     /// Every commit that was acknowledged before.
     Primary,
@@ -18,7 +20,7 @@
 }
 
 /// A route from a database name to a service.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Kind of work, which is the name of the route.
     pub kind: Kind,
@@ -37,7 +39,7 @@
 }
 
 /// One version of all routes.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Routes {
     /// Version; a greater one is newer.
     pub version: u64,
@@ -68,6 +70,12 @@
         true
     }
 
+    /// Returns the current version with all routes.
+    #[must_use]
+    pub const fn current(&self) -> &Routes {
+        &self.current
+    }
+
     /// Returns the version, or 0 before the first one.
     #[must_use]
     pub const fn version(&self) -> u64 {
--- a/chervildrift_core/tests/relay_freshness.rs
+++ b/chervildrift_core/tests/relay_freshness.rs
@@ -87,6 +87,10 @@
     group.miss(&leader);
     assert!(!group.suspects(at(500)), "a short silence");
     assert!(group.suspects(at(700)));
+    assert_eq!(
+        (group.trusted(at(500)), group.trusted(at(700))),
+        (Some(&leader), None)
+    );
     group.doubt(at(700));
     assert!(!group.suspects(at(800)), "after a standstill");
     group.miss(&leader);
@@ -99,7 +103,7 @@
 #[test]
 fn missing_leader() {
     let (mut group, leader) = led();
-    group.refuse(&leader, 3);
+    group.refuse(at(50), &leader, 3);
     assert!(group.leader().is_none());
     assert!(group.has_refused(&leader, 3) && !group.has_refused(&leader, 4));
     group.note_absence(at(100));
@@ -135,3 +139,16 @@
         "an earlier leadership"
     );
 }
+
+/// Guards against a refusal that an upstream sent before it became leader and that arrives later.
+#[test]
+fn outdated_refusal() {
+    let (mut group, _) = led();
+    let next = Upstream::from("b");
+    group.lead(at(100), &next);
+    group.refuse(at(90), &next, 1);
+    assert_eq!(group.leader(), Some(&next));
+    assert!(!group.has_refused(&next, 1));
+    group.refuse(at(110), &next, 1);
+    assert_eq!(group.leader(), None);
+}
--- a/chervildrift_core/tests/relay_state.rs
+++ b/chervildrift_core/tests/relay_state.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{
-    Access, Candidate, Consistency, Directory, Entry, LinkLimit, Presence, Route, RouteTable,
+    Access, Candidate, Consistency, Directory, Entry, LinkLimit, Peer, Presence, Route, RouteTable,
     Routes, Session, Setup, Shape, Values, choose, links_each, live,
 };
 use chervildrift_core::types::{Kind, Rank, Role, Service, Time, Upstream, Vm, Zone};
@@ -115,7 +115,11 @@
 #[test]
 fn counted_vms() {
     let record = |vm: &str, at| Presence {
-        vm: Vm::from(vm),
+        peer: Peer {
+            vm: Vm::from(vm),
+            zone: Zone::from("north"),
+            address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        },
         at,
     };
     let records = [
@@ -123,7 +127,11 @@
         record("a", 80_000),
         record("c", 10_000),
     ];
-    assert_eq!(live(&records, 100_000), [Vm::from("a"), Vm::from("b")]);
+    let names: Vec<Vm> = live(&records, 100_000)
+        .into_iter()
+        .map(|it| it.vm)
+        .collect();
+    assert_eq!(names, [Vm::from("a"), Vm::from("b")]);
 }
 
 /// Guards against reads at upstreams that failed or lag while another one can serve.
--- a/chervildrift_standin/src/deployment/http.rs
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -39,7 +39,8 @@
     handle: &Handle,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, AnswerLost> {
-    if handle.store.is_down() {
+    // Orders go to another part of the platform, which an outage of the store leaves alone.
+    if handle.store.is_down() && request.uri().path().starts_with("/v1/") {
         return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, None));
     }
     let (head, body) = request.into_parts();
