Serve metrics of relaying VMs, log each further try, and give the control store its own name

The client of the product's own table and object service moves from chervildrift/src/platform to control_store, since platform/ now translates the users' platform.

--- a/chervildrift/src/lib.rs
+++ b/chervildrift/src/lib.rs
@@ -1,13 +1,13 @@
 //! The chervildrift program as a library, so that tests can run its parts.
 
 pub mod cli;
+pub mod control_store;
 pub mod declare;
 pub mod gossip;
 pub mod http;
 pub mod logs;
 pub mod metrics;
 pub mod peer;
-pub mod platform;
 pub mod publish;
 pub mod relay;
 pub mod replay;
--- a/chervildrift/src/publish/mod.rs
+++ b/chervildrift/src/publish/mod.rs
@@ -15,8 +15,8 @@
 use quick_error::quick_error;
 use tokio::runtime::Builder;
 
+use crate::control_store::{self, Condition, Platform, Written};
 use crate::declare::{self, collect};
-use crate::platform::{self, Condition, Platform, Written};
 use crate::serve::{HEAD_KEY, HEAD_TABLE};
 
 /// Exit code of a publish that did not take effect.
@@ -42,7 +42,7 @@
             from()
         }
         /// The platform adapter can't be opened.
-        Platform(err: platform::Error) {
+        Platform(err: control_store::Error) {
             display("{}", err)
             source(err)
             from()
@@ -90,7 +90,7 @@
     let body = Bundle::collect(collected.declarations)?.encode()?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let outcome = runtime.block_on(async {
-        let platform = Platform::open(options.platform, platform::Limits::default())?;
+        let platform = Platform::open(options.platform, control_store::Limits::default())?;
         Ok::<_, Error>(publish(&platform, &options.author, options.expect, &body).await)
     })?;
     Ok(tell(&outcome))
--- a/chervildrift/src/relay/answer.rs
+++ b/chervildrift/src/relay/answer.rs
@@ -44,6 +44,14 @@
         Self::Failed(Failure::new(code, detail))
     }
 
+    /// Returns why the statement failed, if it did.
+    pub(super) const fn code(&self) -> Option<Code> {
+        match self {
+            Self::Failed(failure) => Some(failure.code),
+            Self::Upstream { .. } | Self::Taken => None,
+        }
+    }
+
     /// Writes the answer for the caller.
     pub(super) fn encode(&self, out: &mut String) {
         match self {
--- a/chervildrift/src/relay/confirm.rs
+++ b/chervildrift/src/relay/confirm.rs
@@ -60,6 +60,7 @@
         return Err(Failure::new(Code::InDoubt, detail));
     }
     if !confirmed {
+        node.metrics.unconfirmed.inc();
         warn!(node.log, "commit acknowledged by the primary alone"; "event" => "unconfirmed",
             "request" => commit.id, "service" => %commit.service, "upstream" => %commit.leader,
             "mark" => %commit.mark, "waited_ms" => clock::now().since(asked).as_millis() as u64);
--- a/chervildrift/src/relay/error.rs
+++ b/chervildrift/src/relay/error.rs
@@ -12,6 +12,12 @@
             source(err)
             from()
         }
+        /// The metrics could not be set up.
+        Metrics(err: prometheus::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
         /// The operators' listener could not be opened.
         Listen(err: crate::http::Error) {
             display("{}", err)
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -219,6 +219,12 @@
                 "service" => %self.service, "upstream" => %target, "token" => token,
                 "replaces" => self.leader.map(Upstream::as_str), "attempt" => attempt,
                 "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
+            let outcome = match &order {
+                Ok(()) => "taken",
+                Err(OrderError::Conflict) => "conflict",
+                Err(_) => "failed",
+            };
+            self.node.metrics.ordered(self.service, outcome);
             match order {
                 Ok(()) => return,
                 Err(OrderError::Conflict | OrderError::Rejected(_)) => {
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -12,6 +12,7 @@
 mod keeper;
 mod link;
 mod listener;
+mod metrics;
 mod node;
 mod peers;
 mod pool;
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -20,6 +20,7 @@
 
 use super::answer::Failure;
 use super::clock;
+use super::metrics::Metrics;
 use super::pool::Pool;
 use super::stop::Stage;
 
@@ -42,6 +43,7 @@
     /// Start of the process, in milliseconds of the Unix epoch.
     pub boot: u64,
     pub log: Logger,
+    pub metrics: Metrics,
     pub store: Store,
     pub promotions: Option<Promotions>,
     pub directory: RefCell<Directory>,
@@ -114,6 +116,7 @@
             if let Some(pool) = self.pools.borrow_mut().remove(upstream) {
                 pool.retire();
             }
+            self.metrics.forget(upstream);
             for group in self.groups.borrow_mut().values_mut() {
                 group.drop_leader(upstream);
             }
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -157,7 +157,7 @@
     }
 
     /// Returns the number of connections that are open or being opened.
-    fn open_links(&self) -> usize {
+    pub(super) fn open_links(&self) -> usize {
         Rc::strong_count(&self.tally) - 1
     }
 
@@ -319,6 +319,8 @@
         let Some(stream) = detour(node, upstream).await else {
             return Err(err);
         };
+        let detours = &node.metrics.detours;
+        detours.with_label_values(&[upstream.as_str()]).inc();
         info!(node.log, "upstream reached through a peer"; "event" => "detour",
             "upstream" => %upstream, "error" => %err);
         self.pool.detour.set(Some(clock::now()));
--- a/chervildrift/src/relay/session.rs
+++ b/chervildrift/src/relay/session.rs
@@ -15,6 +15,7 @@
 use tokio_util::codec::{Framed, LinesCodec, LinesCodecError};
 
 use super::answer::{Answer, Failure};
+use super::clock;
 use super::node::Node;
 use super::single::{self, Single};
 use super::stop::Stage;
@@ -172,20 +173,25 @@
                 return Ok(true);
             }
         };
+        let asked = clock::now();
         let ending = *self.node.stage.borrow() >= Stage::Ending;
         let answer = match wire::statement(text) {
             None => Answer::failed(Code::Malformed, "unknown statement"),
             Some(_) if ending && self.session.phase != Phase::Idle => self.abort("stopping"),
             Some(statement) => self.answer(id, text, &statement).await,
         };
+        let code = answer.code();
+        if let Some(route) = self.route() {
+            let took = clock::now().since(asked);
+            self.node.metrics.answered(&route.kind, code, took);
+        }
         if let Answer::Failed(failure) = &answer {
             info!(self.node.log, "statement failed"; "event" => "failure", "request" => id,
                 "caller" => %self.caller, "database" => &*self.database, "code" => %failure.code,
                 "detail" => &failure.detail);
         }
-        let gone = matches!(&answer, Answer::Failed(it) if it.code == Code::NoDatabase);
         self.send(Some(&answer)).await?;
-        Ok(!gone)
+        Ok(code != Some(Code::NoDatabase))
     }
 
     async fn answer(&mut self, id: &str, text: &str, statement: &Statement<'_>) -> Answer {
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -12,6 +12,7 @@
 };
 use chervildrift_core::types::{Caller, Mark, Time, Upstream};
 use chervildrift_platform::wire::Command;
+use slog::info;
 use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
@@ -51,6 +52,8 @@
     node: &'a Rc<Node>,
     route: &'a Route,
     caller: &'a Caller,
+    /// Id of the caller's statement, for the log.
+    id: &'a str,
     started: Time,
     tries: u32,
     /// Upstreams that lacked the needed position or gave no answer.
@@ -65,13 +68,29 @@
     pub floor: Floor,
 }
 
+impl Target {
+    /// Returns as what the upstream serves the statement.
+    const fn place(&self) -> &'static str {
+        match self.floor {
+            Floor::Leader => "leader",
+            Floor::At(_) => "replica",
+        }
+    }
+}
+
 impl<'a> Turn<'a> {
     /// Opens a turn that starts now.
-    pub(super) fn open(node: &'a Rc<Node>, route: &'a Route, caller: &'a Caller) -> Self {
+    pub(super) fn open(
+        node: &'a Rc<Node>,
+        route: &'a Route,
+        caller: &'a Caller,
+        id: &'a str,
+    ) -> Self {
         Self {
             node,
             route,
             caller,
+            id,
             started: clock::now(),
             tries: 0,
             avoided: SmallVec::new(),
@@ -136,6 +155,10 @@
         let _sampled = timeout(SAMPLE_WAIT.min(self.left()), wait).await;
     }
 
+    fn elapsed_ms(&self) -> u64 {
+        clock::now().since(self.started).as_millis() as u64
+    }
+
     /// Returns the time for which the statement may still be held.
     fn left(&self) -> Duration {
         let hold = Duration::from_millis(self.node.settings.hold_ms);
@@ -199,6 +222,8 @@
         let Some(pool) = self.node.pool(&target.upstream) else {
             return Err(Failure::new(Code::Busy, "the upstream has gone"));
         };
+        let at_leader = target.floor == Floor::Leader;
+        self.node.metrics.placed(&self.route.kind, at_leader);
         let now = clock::now();
         let span = self.route.target.max(self.route.timeout);
         // A statement that was held for a leader gets part of its time once more.
@@ -210,12 +235,8 @@
         };
         let lease = pool.acquire(demand).await;
         lease.map_err(|refusal| {
-            let role = if target.floor == Floor::Leader {
-                "primary"
-            } else {
-                "replica"
-            };
-            Failure::new(Code::Busy, format!("{role} {}: {refusal}", target.upstream))
+            let detail = format!("{} {}: {refusal}", target.place(), target.upstream);
+            Failure::new(Code::Busy, detail)
         })
     }
 
@@ -278,6 +299,12 @@
         asked: Time,
     ) -> Result<(), Failure> {
         let (code, detail) = refusal.unwrap_or((Code::Failed, String::new()));
+        self.node
+            .metrics
+            .retried(&self.route.kind, &code.to_string());
+        info!(self.node.log, "refused by an upstream"; "event" => "try", "request" => self.id,
+            "upstream" => %target.upstream, "place" => target.place(), "tries" => self.tries,
+            "code" => %code, "elapsed_ms" => self.elapsed_ms());
         let pool = self.node.pool(&target.upstream);
         match code {
             Code::ReadOnly => self
@@ -319,6 +346,10 @@
         }
         self.node
             .with_group(&self.route.service, |group| group.miss(&target.upstream));
+        self.node.metrics.retried(&self.route.kind, "no_answer");
+        info!(self.node.log, "no answer"; "event" => "try", "request" => self.id,
+            "upstream" => %target.upstream, "place" => target.place(), "tries" => self.tries,
+            "error" => %err, "elapsed_ms" => self.elapsed_ms());
         self.avoided.push(target.upstream.clone());
         if let Some(pool) = self.node.pool(&target.upstream) {
             pool.failed.set(Some(clock::now()));
@@ -342,7 +373,7 @@
 
 /// Runs a statement to its answer.
 pub(super) async fn run(single: &Single<'_>, session: &mut Session) -> Answer {
-    let mut turn = Turn::open(single.node, single.route, single.caller);
+    let mut turn = Turn::open(single.node, single.route, single.caller, single.id);
     loop {
         match try_once(single, &mut turn, session).await {
             Ok(Tried::Answered(answer)) => return answer,
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 
+use super::metrics::Metrics;
 use super::node::Node;
 use super::stop::{self, Stage};
 use super::{Error, keeper, listener, peers, presence, watch as follow};
@@ -36,10 +37,12 @@
     let mut int = signal(SignalKind::interrupt())?;
     let mut hup = signal(SignalKind::hangup())?;
     let ready = Arc::new(AtomicBool::new(false));
-    let operators = http::bind_operators(settings.operators, probe(&ready))?;
+    let metrics = Metrics::open()?;
+    let probe = probe(&ready, metrics.clone(), log.clone());
+    let operators = http::bind_operators(settings.operators, probe)?;
     let callers = TcpListener::bind(settings.callers).await?;
     let peer_listener = TcpListener::bind(settings.peers).await?;
-    let node = Rc::new(open(settings, log, &ready)?);
+    let node = Rc::new(open(settings, log, metrics, &ready)?);
     info!(node.log, "started"; "event" => "start", "callers" => %node.settings.callers,
         "operators" => %node.settings.operators, "store" => %node.settings.store);
     spawn_local(follow::routes(Rc::clone(&node)));
@@ -62,10 +65,16 @@
     Ok(node.sessions.get() == 0)
 }
 
-fn open(settings: RelaySettings, log: Logger, ready: &Arc<AtomicBool>) -> Result<Node, Error> {
+fn open(
+    settings: RelaySettings,
+    log: Logger,
+    metrics: Metrics,
+    ready: &Arc<AtomicBool>,
+) -> Result<Node, Error> {
     let promotions = settings.promotions.map(Promotions::open).transpose()?;
     Ok(Node {
         boot: wall::clock_ms(),
+        metrics,
         store: Store::open(settings.store, Limits::default())?,
         promotions,
         log,
@@ -88,12 +97,18 @@
     })
 }
 
-fn probe(ready: &Arc<AtomicBool>) -> Probe {
+fn probe(ready: &Arc<AtomicBool>, metrics: Metrics, log: Logger) -> Probe {
     let ready = Arc::clone(ready);
     Probe {
         alive: Box::new(|| true),
         ready: Box::new(move || ready.load(Ordering::Acquire)),
-        metrics: Box::new(Vec::new),
+        metrics: Box::new(move || {
+            metrics.render().unwrap_or_else(|err| {
+                warn!(log, "metrics not rendered"; "event" => "metrics", "error" => %err);
+                Vec::new()
+            })
+        }),
+        // Burn is counted by VMs that serve the HTTP interface, whose declarations state objectives.
         burn: Box::new(|_| Vec::new()),
     }
 }
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -9,7 +9,7 @@
 
 use chervildrift_core::relay::{Access, Code, Consistency, Floor, Route, Session, Shape};
 use chervildrift_core::types::{Caller, Mark, Upstream};
-use chervildrift_platform::wire::{Command, State};
+use chervildrift_platform::wire::{COMMIT, Command, State};
 use tokio::time::sleep;
 
 use super::answer::{Answer, Failure};
@@ -89,7 +89,7 @@
         access: Access,
         shape: Option<&Shape>,
     ) -> Result<Answer, Failure> {
-        self.place(session).await?;
+        self.place(session, id).await?;
         let limit = self.route.timeout;
         let command = Command::Run {
             id,
@@ -120,11 +120,11 @@
         session: &mut Session,
         id: &str,
     ) -> Result<Answer, Failure> {
-        self.place(session).await?;
+        self.place(session, id).await?;
         let command = Command::Run {
             id,
             after: None,
-            text: "COMMIT",
+            text: COMMIT,
         };
         let asked = clock::now();
         let limit = self.route.timeout;
@@ -196,14 +196,14 @@
     }
 
     /// Begins the transaction at an upstream unless that was done.
-    async fn place(&mut self, session: &Session) -> Result<(), Failure> {
+    async fn place(&mut self, session: &Session, id: &str) -> Result<(), Failure> {
         if self.expired {
             return Err(Failure::new(Code::Aborted, "idle for too long"));
         }
         if self.place.is_some() {
             return Ok(());
         }
-        let mut turn = Turn::open(&self.node, &self.route, &self.caller);
+        let mut turn = Turn::open(&self.node, &self.route, &self.caller, id);
         loop {
             let target = turn.target(self.access, session).await?;
             let mut lease = turn.acquire(&target).await?;
--- a/chervildrift/src/relay/watch.rs
+++ b/chervildrift/src/relay/watch.rs
@@ -42,6 +42,7 @@
     loop {
         match step(&node, table, &mut at, &list, &change).await {
             Ok(()) => {
+                node.metrics.feeds.with_label_values(&[table, "done"]).inc();
                 node.lost.set(None);
                 if failures > 0 {
                     info!(node.log, "store answers again"; "event" => "store", "table" => table);
@@ -49,6 +50,10 @@
                 failures = 0;
             }
             Err(err) => {
+                node.metrics
+                    .feeds
+                    .with_label_values(&[table, "failed"])
+                    .inc();
                 if node.lost.get().is_none() {
                     node.lost.set(Some(clock::now()));
                 }
@@ -150,6 +155,7 @@
         sleep(EXPIRY).await;
         let gone = node.directory.borrow_mut().expire(clock::now());
         node.forget(&gone);
+        node.metrics.gauge(&node);
         for pool in node.pools.borrow().values() {
             pool.close_idle();
         }
--- a/chervildrift/src/serve/burn.rs
+++ b/chervildrift/src/serve/burn.rs
@@ -14,7 +14,7 @@
 
 use super::node::Node;
 use super::{BurnReport, Input};
-use crate::platform::{Condition, Platform, Written};
+use crate::control_store::{Condition, Platform, Written};
 use crate::wall;
 
 /// Table of the snapshots.
--- a/chervildrift/src/serve/error.rs
+++ b/chervildrift/src/serve/error.rs
@@ -37,7 +37,7 @@
             from()
         }
         /// The platform adapter could not be opened.
-        Platform(err: crate::platform::Error) {
+        Platform(err: crate::control_store::Error) {
             display("platform: {err}")
             source(err)
             from()
--- a/chervildrift/src/serve/fleet.rs
+++ b/chervildrift/src/serve/fleet.rs
@@ -16,10 +16,10 @@
 
 use super::Input;
 use super::node::Node;
+use crate::control_store::{ListedVm, VmState};
 use crate::gossip::Datagram;
 use crate::peer;
 use crate::peer::message::{Inbound, Pong};
-use crate::platform::{ListedVm, VmState};
 
 /// Table and key of the head record.
 pub const HEAD_TABLE: &str = "config";
--- a/chervildrift/src/serve/node.rs
+++ b/chervildrift/src/serve/node.rs
@@ -25,8 +25,8 @@
 use super::group::{Candidate, Group};
 use super::record::Recorder;
 use super::{Input, Shared};
+use crate::control_store::Platform;
 use crate::peer::message::GroupState;
-use crate::platform::Platform;
 use crate::upstream::Login;
 use crate::{gossip, peer};
 
--- a/chervildrift/src/serve/start.rs
+++ b/chervildrift/src/serve/start.rs
@@ -28,11 +28,11 @@
 use super::node::Node;
 use super::record::Recorder;
 use super::{Error, Input, Shared, TICK};
+use crate::control_store::Platform;
 use crate::gossip;
 use crate::http::{self, CallersHandle, Credentials, OperatorsHandle, Probe};
 use crate::metrics::Metrics;
 use crate::peer::{self, FleetKey};
-use crate::platform::Platform;
 use crate::wall;
 
 /// Threads for the sockets of upstreams, platform and membership.
@@ -150,7 +150,7 @@
     let gossip = bind_gossip(&key, peers.address(), &io, &inputs)?;
     let platform = Platform::open(
         settings.platform.address,
-        crate::platform::Limits::default(),
+        crate::control_store::Limits::default(),
     )?;
     let place = Place {
         zone: settings.zone.clone(),
--- a/chervildrift/src/try_out/mod.rs
+++ b/chervildrift/src/try_out/mod.rs
@@ -18,7 +18,7 @@
 use slog::o;
 use tokio::runtime::Builder;
 
-use crate::platform::{self, Platform};
+use crate::control_store::{self, Platform};
 use crate::publish::publish;
 use crate::{logs, serve};
 
@@ -48,7 +48,7 @@
             from()
         }
         /// The platform adapter can't be opened.
-        Adapter(err: platform::Error) {
+        Adapter(err: control_store::Error) {
             display("{}", err)
             source(err)
             from()
@@ -308,7 +308,7 @@
     let declaration = check(&declaration(upstreams))
         .map_err(|mut findings| Error::Declaration(findings.remove(0)))?;
     let body = Bundle::collect([declaration])?.encode()?;
-    let platform = Platform::open(platform, platform::Limits::default())?;
+    let platform = Platform::open(platform, control_store::Limits::default())?;
     match publish(&platform, "try", None, &body).await {
         Outcome::Published { .. } => Ok(()),
         other => Err(Error::Unpublished(other)),
--- a/chervildrift/tests/platform_faults.rs
+++ b/chervildrift/tests/platform_faults.rs
@@ -4,7 +4,7 @@
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-use chervildrift::platform::{
+use chervildrift::control_store::{
     Condition, Deleted, Error, Limits, Listed, Platform, Scan, VmState, Written,
 };
 use chervildrift_standin::platform::{self, Faults, Handle, Options, Vm};
@@ -24,7 +24,7 @@
     (handle, client)
 }
 
-fn done(written: Result<Written, Error>) -> chervildrift::platform::Tag {
+fn done(written: Result<Written, Error>) -> chervildrift::control_store::Tag {
     match written.unwrap() {
         Written::Done(tag) => tag,
         Written::Conflict(tag) => panic!("conflict with {tag:?}"),
--- a/chervildrift_core/src/relay/choice.rs
+++ b/chervildrift_core/src/relay/choice.rs
@@ -5,7 +5,7 @@
 use crate::types::{Time, Upstream};
 
 /// Time for which an upstream that lacked a needed position is asked last.
-const LAGGING_PAUSE: Duration = Duration::from_millis(100);
+const LAG_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time for which an upstream that gave no answer is asked last.
 const FAILED_PAUSE: Duration = Duration::from_millis(500);
@@ -43,7 +43,7 @@
         };
         (
             recent(it.failed, FAILED_PAUSE),
-            recent(it.lagged, LAGGING_PAUSE),
+            recent(it.lagged, LAG_PAUSE),
             it.distance + it.wait + cost,
         )
     })
