Drop idle connections that have ended before a statement is sent

Change: an idle connection is looked at before it is used. Test: relay_sessions ended_connection, failed before.

--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -151,6 +151,13 @@
         self.pending == 0 && self.state == State::Idle
     }
 
+    /// Tells whether an idle connection is still open, as far as the network has told.
+    pub(super) fn is_open(&self) -> bool {
+        // An idle upstream sends nothing, so whatever can be read is the end or a mistake.
+        let read = self.lines.get_ref().try_read(&mut [0]);
+        read.is_err_and(|err| err.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
     /// Tells whether an answer is outstanding.
     pub(super) const fn is_pending(&self) -> bool {
         self.pending > 0
--- a/chervildrift/src/relay/peers.rs
+++ b/chervildrift/src/relay/peers.rs
@@ -174,10 +174,12 @@
 
 /// Takes in what another VM knows, unless it can't read the store either.
 fn learn(node: &Node, beliefs: Beliefs) {
-    if !node.store_silent(STORE_SILENCE) || !(beliefs.current || !node.listed.get()) {
+    let first = !node.listed.get();
+    let useful = beliefs.current || first;
+    if !useful || !node.store_silent(STORE_SILENCE) {
         return;
     }
-    if !node.listed.get() {
+    if first {
         info!(node.log, "learned from a peer"; "event" => "peer",
             "version" => beliefs.routes.version, "upstreams" => beliefs.entries.len());
     }
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -251,6 +251,8 @@
     /// Takes the idle connection that is closest to what a session needs.
     fn take_idle(&self, session: &Session, shape: Option<&Shape>) -> Option<Link> {
         let mut idle = self.idle.borrow_mut();
+        // A write on a connection that has ended would be in doubt although it can't run.
+        idle.retain(Link::is_open);
         let fit = |at: &usize| idle[*at].mismatch(session, shape);
         // The last one used is taken among equals, so that the others can be closed when idle.
         let best = (0..idle.len()).rev().min_by_key(fit)?;
--- a/chervildrift/tests/relay_sessions.rs
+++ b/chervildrift/tests/relay_sessions.rs
@@ -172,3 +172,15 @@
     fleet.platform.database.lose_answers(1);
     assert_eq!(session.run("COMMIT").await.code(), "INDOUBT");
 }
+
+/// Guards against writes whose outcome is called unknown although their connection had ended before.
+#[tokio::test(flavor = "multi_thread")]
+async fn ended_connection() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    for round in 0..5 {
+        assert!(session.run(&format!("WRITE x {round}")).await.is_signed());
+        fleet.platform.database.close_connections();
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+}
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::sync::Notify;
 
 use super::{Options, SERVICE};
 
@@ -57,6 +58,8 @@
     runs: Vec<Run>,
     next: u64,
     sequence: u64,
+    /// Rises when all connections are to be closed.
+    closed: u64,
 }
 
 /// Databases of one service.
@@ -64,6 +67,8 @@
 pub struct Database {
     state: Mutex<State>,
     limit: usize,
+    /// Wakes connections that are to be closed.
+    pub(super) closing: Notify,
 }
 
 impl Database {
@@ -79,6 +84,7 @@
         };
         Self {
             limit: options.connections,
+            closing: Notify::new(),
             state: Mutex::new(State {
                 members: (0..options.databases).map(member).collect(),
                 term: 1,
@@ -89,6 +95,7 @@
                 runs: Vec::new(),
                 next: 0,
                 sequence: 0,
+                closed: 0,
             }),
         }
     }
@@ -141,6 +148,16 @@
         self.lock().lost_answers = count;
     }
 
+    /// Closes all connections to the databases, as a restart of them does.
+    pub fn close_connections(&self) {
+        self.lock().closed += 1;
+        self.closing.notify_waiters();
+    }
+
+    pub(super) fn closed(&self) -> u64 {
+        self.lock().closed
+    }
+
     /// Makes a database the primary of the next term, with what it has received.
     pub fn promote(&self, id: &str) {
         let mut state = self.lock();
--- a/chervildrift_standin/src/deployment/session.rs
+++ b/chervildrift_standin/src/deployment/session.rs
@@ -66,7 +66,19 @@
         prepared: HashMap::new(),
     };
     let mut open = lines.get_mut().write_all(out.as_bytes()).await.is_ok();
-    while open && let Ok(Some(line)) = lines.next_line().await {
+    let generation = database.closed();
+    while open {
+        let closing = database.closing.notified();
+        if database.closed() != generation {
+            break;
+        }
+        let line = tokio::select! {
+            line = lines.next_line() => line,
+            () = closing => break,
+        };
+        let Ok(Some(line)) = line else {
+            break;
+        };
         if database.is_dark(member) {
             break;
         }
