--- a/chervildrift/src/cli/check.rs
+++ b/chervildrift/src/cli/check.rs
@@ -1,9 +1,9 @@
 //! `check`: validation of files without any change.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use chervildrift_core::config::explain;
+use chervildrift_core::config::{Finding, check_relay, check_settings, explain};
 use clap::Args;
 
 use super::FAILURE;
@@ -17,6 +17,9 @@
     /// Settings file of a VM to check as well.
     #[arg(long)]
     settings: Vec<PathBuf>,
+    /// Settings file of a relaying VM to check as well.
+    #[arg(long)]
+    relay: Vec<PathBuf>,
     /// Prints the fields of the files with their defaults.
     #[arg(long)]
     explain: bool,
@@ -29,13 +32,10 @@
     }
     let mut mistakes = 0;
     for path in &options.settings {
-        let text = std::fs::read_to_string(path).map_err(|err| Error::File(path.clone(), err))?;
-        if let Err(findings) = chervildrift_core::config::check_settings(&text) {
-            mistakes += findings.len();
-            for finding in &findings {
-                println!("{}:{finding}", path.display());
-            }
-        }
+        mistakes += check_file(path, |text| check_settings(text).err())?;
+    }
+    for path in &options.relay {
+        mistakes += check_file(path, |text| check_relay(text).err())?;
     }
     let collected = collect(&options.paths)?;
     for (path, finding) in &collected.findings {
@@ -52,3 +52,13 @@
     );
     Ok(ExitCode::SUCCESS)
 }
+
+/// Prints the mistakes of a settings file and returns their number.
+fn check_file(path: &Path, check: impl Fn(&str) -> Option<Vec<Finding>>) -> Result<usize, Error> {
+    let text = std::fs::read_to_string(path).map_err(|err| Error::File(path.to_owned(), err))?;
+    let findings = check(&text).unwrap_or_default();
+    for finding in &findings {
+        println!("{}:{finding}", path.display());
+    }
+    Ok(findings.len())
+}
--- a/chervildrift/tests/operator_commands.rs
+++ b/chervildrift/tests/operator_commands.rs
@@ -53,6 +53,44 @@
     std::fs::remove_dir_all(folder).expect("removes the folder");
 }
 
+/// Guards against settings of a relaying VM that are wrong and pass.
+#[test]
+fn check_relay_settings() {
+    let path = std::env::temp_dir().join(format!("check-relay-{}.yaml", std::process::id()));
+    let good = "vm: a\nzone: north\ncallers: \"127.0.0.1:1\"\noperators: \"127.0.0.1:2\"\n\
+                peers: \"127.0.0.1:3\"\nstore: \"127.0.0.1:4\"\n";
+    let name = path.to_string_lossy().into_owned();
+    for (more, found) in [
+        ("", None),
+        (
+            "grace_s: 0.5\n",
+            Some("grace_s is 0.5; give a number from 2 to 600"),
+        ),
+        (
+            "hold_ms: 90000\n",
+            Some("hold_ms is 90000; give a number of at most 60000"),
+        ),
+        ("hold: 4\n", Some("unknown field")),
+    ] {
+        std::fs::write(&path, good.to_owned() + more).expect("writes the file");
+        let output = run(&["check", "--relay", &name]);
+        assert_eq!(
+            output.status.code(),
+            Some(if found.is_some() { 2 } else { 0 })
+        );
+        assert!(
+            text(&output).contains(found.unwrap_or_default()),
+            "{}",
+            text(&output)
+        );
+    }
+    let same = good.replace("127.0.0.1:2", "127.0.0.1:1");
+    std::fs::write(&path, same).expect("writes the file");
+    let output = run(&["check", "--relay", &name]);
+    assert!(text(&output).contains("same address"), "{}", text(&output));
+    std::fs::remove_file(path).expect("removes the file");
+}
+
 /// Guards against an empty publish, which would take every service away, and against a publish
 /// over a generation that its files were not made for.
 #[tokio::test]
--- a/chervildrift_core/src/config/check.rs
+++ b/chervildrift_core/src/config/check.rs
@@ -19,6 +19,15 @@
 /// Longest deadline of a kind of work, in milliseconds.
 const MAX_DEADLINE_MS: u64 = 600_000;
 
+/// Shortest grace period of a relaying VM, in seconds; a shorter one leaves no time to answer.
+const MIN_GRACE_S: f64 = 0.1;
+
+/// Longest grace period of a relaying VM, in seconds.
+const MAX_GRACE_S: f64 = 600.0;
+
+/// Longest time for which a relaying VM holds a request, in milliseconds.
+const MAX_HOLD_MS: u64 = 60_000;
+
 /// Floors that apply when a file states none.
 const DEFAULT_FLOORS: Floors = Floors {
     urgent: 30,
@@ -59,7 +68,49 @@
 
 /// Checks the settings file of a VM that relays callers' sessions.
 pub fn check_relay(text: &str) -> Result<RelaySettings, Vec<Finding>> {
-    serde_saphyr::from_str(text).map_err(|err| vec![syntax(&err)])
+    let settings = serde_saphyr::from_str(text).map_err(|err| vec![syntax(&err)])?;
+    let findings = relay_findings(&settings);
+    if findings.is_empty() {
+        Ok(settings)
+    } else {
+        Err(findings)
+    }
+}
+
+fn relay_findings(settings: &RelaySettings) -> Vec<Finding> {
+    let finding = |problem: String, expected: String| Finding {
+        line: 0,
+        column: 0,
+        problem,
+        expected,
+    };
+    let mut findings = Vec::new();
+    let grace = settings.grace_s;
+    if !(MIN_GRACE_S..=MAX_GRACE_S).contains(&grace) {
+        findings.push(finding(
+            format!("grace_s is {grace}"),
+            format!("give a number from {MIN_GRACE_S} to {MAX_GRACE_S}"),
+        ));
+    }
+    for (name, value) in [
+        ("hold_ms", settings.hold_ms),
+        ("confirm_ms", settings.confirm_ms),
+    ] {
+        if value > MAX_HOLD_MS {
+            findings.push(finding(
+                format!("{name} is {value}"),
+                format!("give a number of at most {MAX_HOLD_MS}"),
+            ));
+        }
+    }
+    let listeners = [settings.callers, settings.operators, settings.peers];
+    if (1..listeners.len()).any(|at| listeners[..at].contains(&listeners[at])) {
+        findings.push(finding(
+            "two listeners have the same address".to_owned(),
+            "give callers, operators and peers an address each".to_owned(),
+        ));
+    }
+    findings
 }
 
 fn syntax(err: &serde_saphyr::Error) -> Finding {
