Look for a way to an upstream among several VMs at once

Change: up to four VMs of the upstream's zone and four others are asked at once; the first that connects is kept for the next connections. Test: relay_peers detour, with a store whose entries can't be dialled.

--- a/chervildrift/src/relay/peers.rs
+++ b/chervildrift/src/relay/peers.rs
@@ -11,7 +11,7 @@
 use chervildrift_core::relay::{Beliefs, Judgement, Peer};
 use chervildrift_core::types::{Service, Upstream};
 use futures::StreamExt;
-use futures::future::join_all;
+use futures::future::{join_all, select_ok};
 use slog::{debug, info, warn};
 use tokio::io::{AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
@@ -45,6 +45,9 @@
 /// Interval at which another VM is asked meanwhile.
 const ASK_INTERVAL: Duration = Duration::from_millis(400);
 
+/// VMs that are asked at once for a way to an upstream, in its zone and in the others each.
+const WAYS: usize = 4;
+
 /// Pause after a failed accept, such as for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -207,8 +210,26 @@
     node.update_ready();
 }
 
-/// Returns the VMs through which an upstream may be reached, nearest to it first.
-pub(super) fn ways(node: &Node, upstream: &Upstream) -> Vec<Peer> {
+/// Looks for a VM that reaches an upstream; the first one that does carries the connection.
+pub(super) async fn find_way(node: &Node, upstream: &Upstream) -> Option<(Peer, TcpStream)> {
+    let ways = ways(node, upstream);
+    let tries = ways.into_iter().map(|peer| {
+        Box::pin(async move {
+            let stream = tunnel(&peer, upstream).await.ok_or(())?;
+            Ok::<_, ()>((peer, stream))
+        })
+    });
+    let tries: Vec<_> = tries.collect();
+    if tries.is_empty() {
+        return None;
+    }
+    let ((peer, stream), _others) = select_ok(tries).await.ok()?;
+    Some((peer, stream))
+}
+
+/// Returns the VMs through which an upstream may be reached: some of its zone and some others,
+/// since a cut may take a whole zone away.
+fn ways(node: &Node, upstream: &Upstream) -> Vec<Peer> {
     let zone = node
         .directory
         .borrow()
@@ -216,9 +237,10 @@
         .map(|it| it.zone.clone());
     let peers = node.peers.borrow();
     let others = peers.iter().filter(|peer| peer.vm != node.settings.vm);
-    let mut ways: Vec<Peer> = others.cloned().collect();
-    ways.sort_by_key(|peer| Some(&peer.zone) != zone.as_ref());
-    ways
+    let (near, far): (Vec<&Peer>, Vec<&Peer>) =
+        others.partition(|peer| Some(&peer.zone) == zone.as_ref());
+    let near = near.into_iter().take(WAYS);
+    near.chain(far.into_iter().take(WAYS)).cloned().collect()
 }
 
 /// Opens a connection to an upstream through another VM.
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use chervildrift_core::dispatch::{Finish, Job, JobId, Policy, Refusal, Scheduler};
-use chervildrift_core::relay::{Code, Entry, LinkLimit, Session, Shape};
+use chervildrift_core::relay::{Code, Entry, LinkLimit, Peer, Session, Shape};
 use chervildrift_core::types::{Caller, Kind, Rank, Service, Time, Upstream};
 use slog::info;
 use tokio::net::TcpStream;
@@ -25,8 +25,12 @@
 /// Time for which an upstream is reached through other VMs before it is dialled again.
 const DETOUR: Duration = Duration::from_secs(2);
 
-/// Other VMs that are tried for one connection.
-const WAYS: usize = 2;
+/// A VM through which an upstream is reached.
+#[derive(Clone, Debug)]
+struct Detour {
+    peer: Peer,
+    since: Time,
+}
 
 /// Shared connections to one upstream.
 #[derive(Debug)]
@@ -43,8 +47,8 @@
     next: Cell<u64>,
     /// Time of a message there and back, once a connection was made.
     distance: Cell<Option<Duration>>,
-    /// Since when the upstream has been reached through other VMs.
-    detour: Cell<Option<Time>>,
+    /// Through whom the upstream is reached while it can't be dialled.
+    detour: RefCell<Option<Detour>>,
     /// When the upstream last lacked a position.
     pub lagged: Cell<Option<Time>>,
     /// When the upstream last gave no answer.
@@ -89,7 +93,7 @@
             idle: RefCell::default(),
             next: Cell::new(0),
             distance: Cell::new(None),
-            detour: Cell::new(None),
+            detour: RefCell::default(),
             lagged: Cell::new(None),
             failed: Cell::new(None),
             retired: Cell::new(false),
@@ -286,12 +290,7 @@
             (entry.address, entry.service.clone(), entry.upstream.clone())
         };
         let tally = Rc::clone(&self.pool.tally);
-        let stream = match self.pool.detour.get() {
-            Some(since) if clock::now().since(since) < DETOUR => {
-                detour(node, &upstream).await.ok_or_else(no_way)?
-            }
-            _ => self.dial(node, address, &service, &upstream).await?,
-        };
+        let stream = self.reach(node, address, &service, &upstream).await?;
         let opened = Link::open(stream, &service, &upstream, tally).await;
         if let Err(LinkError::Refused(Code::Overloaded, _)) = &opened {
             self.pool.note_overload();
@@ -299,33 +298,47 @@
         opened
     }
 
-    /// Connects directly, or through another VM if that fails.
-    async fn dial(
+    /// Connects directly, or through another VM while that fails.
+    async fn reach(
         &self,
         node: &Node,
         address: SocketAddr,
         service: &Service,
         upstream: &Upstream,
     ) -> Result<TcpStream, LinkError> {
+        let now = clock::now();
+        let known = self.pool.detour.borrow().clone();
+        if let Some(known) = known {
+            if now.since(known.since) < DETOUR
+                && let Some(stream) = peers::tunnel(&known.peer, upstream).await
+            {
+                return Ok(stream);
+            }
+            // This connection looks whether the upstream can be dialled again; the others go on.
+            let peer = known.peer;
+            self.pool.detour.replace(Some(Detour { peer, since: now }));
+        }
         let err = match Link::connect(address).await {
             Ok((stream, took)) => {
                 let known = self.pool.distance.get();
                 let least = known.map_or(took, |known| known.min(took));
                 self.pool.distance.set(Some(least));
-                self.pool.detour.set(None);
+                self.pool.detour.replace(None);
                 return Ok(stream);
             }
             Err(err) => err,
         };
         node.with_group(service, |group| group.miss(upstream));
-        let Some(stream) = detour(node, upstream).await else {
+        let Some((peer, stream)) = peers::find_way(node, upstream).await else {
+            self.pool.detour.replace(None);
             return Err(err);
         };
         let detours = &node.metrics.detours;
         detours.with_label_values(&[upstream.as_str()]).inc();
         info!(node.log, "upstream reached through a peer"; "event" => "detour",
-            "upstream" => %upstream, "error" => %err);
-        self.pool.detour.set(Some(clock::now()));
+            "upstream" => %upstream, "peer" => %peer.vm, "error" => %err);
+        let since = clock::now();
+        self.pool.detour.replace(Some(Detour { peer, since }));
         Ok(stream)
     }
 
@@ -342,20 +355,6 @@
     }
 }
 
-/// Connects to an upstream through another VM.
-async fn detour(node: &Node, upstream: &Upstream) -> Option<TcpStream> {
-    for peer in peers::ways(node, upstream).into_iter().take(WAYS) {
-        if let Some(stream) = peers::tunnel(&peer, upstream).await {
-            return Some(stream);
-        }
-    }
-    None
-}
-
-fn no_way() -> LinkError {
-    LinkError::Connect("not reached through other VMs".into())
-}
-
 impl Drop for Lease {
     fn drop(&mut self) {
         self.pool.take_back(self.id, self.link.take(), self.finish);
--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -96,3 +96,28 @@
     assert_eq!(ask("TUNNEL elsewhere").await.1, None);
     assert_eq!(ask("NONSENSE").await.1, None);
 }
+
+/// Guards against a VM that refuses work for an upstream which only others can reach.
+#[tokio::test(flavor = "multi_thread")]
+async fn detour() {
+    let mut fleet = Fleet::spawn(1, &Options::default()).await;
+    let fork = fleet.platform.fork().await.expect("a second store");
+    // Nobody listens at port 1, so that the second VM can't dial any upstream.
+    for (id, mut entry) in fleet.platform.entries() {
+        entry["address"] = "127.0.0.1:1".into();
+        fork.store.put("servers", &id, entry.to_string().as_bytes());
+    }
+    let peer = serde_json::json!({
+        "peer": {"vm": "vm-first", "zone": "north", "address": fleet.vms[0].peers}, "at": 0,
+    });
+    fork.store
+        .put("chervildrift", "vm/vm-first", peer.to_string().as_bytes());
+    fork.configure(1, &relayed::ROUTES);
+    fleet.store = fork.address;
+    fleet.add("");
+    fleet.vms[1].await_ready(true).await;
+    let mut session = fleet.vms[1].session("own").await;
+    let answer = session.run("WRITE x 1").await;
+    assert!(answer.is_signed(), "{answer:?}");
+    assert_eq!(session.run("READ x").await.rows, ["1"]);
+}
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -70,13 +70,19 @@
             }
         });
     }
+    let handle = serve(store, database).await?;
+    handle.register();
+    Ok(handle)
+}
+
+/// Serves a store and the orders to a service's databases.
+async fn serve(store: Arc<Store>, database: Arc<Database>) -> std::io::Result<Handle> {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let handle = Handle {
         address: listener.local_addr()?,
         store,
         database,
     };
-    handle.register();
     let served = handle.clone();
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
@@ -87,6 +93,16 @@
 }
 
 impl Handle {
+    /// Starts a store of its own for the same databases, for VMs that are to see other entries.
+    pub async fn fork(&self) -> std::io::Result<Self> {
+        serve(Arc::new(Store::default()), Arc::clone(&self.database)).await
+    }
+
+    /// Returns the entries of all databases by their ids.
+    pub fn entries(&self) -> Vec<(String, serde_json::Value)> {
+        self.database.entries()
+    }
+
     /// Writes the entries of all databases as they see themselves.
     pub fn register(&self) {
         for (id, entry) in self.database.entries() {
