--- a/chervildrift/src/cli/error.rs
+++ b/chervildrift/src/cli/error.rs
@@ -53,6 +53,12 @@
             source(err)
             from()
         }
+        /// The request could not be explained.
+        Explain(err: crate::explain::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
         /// The trace could not be replayed.
         Replay(err: crate::replay::Error) {
             display("{}", err)
--- a/chervildrift/src/cli/mod.rs
+++ b/chervildrift/src/cli/mod.rs
@@ -52,6 +52,8 @@
     /// Prints a report.
     #[command(subcommand)]
     Report(Report),
+    /// Explains what decided the outcome of a request, from the logs of VMs.
+    Explain(crate::explain::Options),
     /// Runs a recorded trace through the core and compares with its stated outcomes.
     Replay {
         /// Trace file.
@@ -119,6 +121,7 @@
         Command::Check(options) => return Ok(check::run(&options)?),
         Command::Publish(options) => return Ok(crate::publish::run(&options)?),
         Command::Report(Report::Burn(options)) => crate::report::run(&options)?,
+        Command::Explain(options) => crate::explain::run(&options)?,
         Command::Replay { trace } => return Ok(crate::replay::run(&trace)?),
         Command::StandIn(StandIn::Platform { listen }) => stand_in::platform(listen)?,
         Command::StandIn(StandIn::Upstream(options)) => stand_in::upstream(&options)?,
--- /dev/null
+++ b/chervildrift/src/explain/mod.rs
@@ -0,0 +1,223 @@
+//! `explain`: the decisions on one request, from the logs of several VMs.
+//!
+//! Logs are read line by line and twice, so that they may be larger than memory: first for the lines
+//! that name the request, then for what the same VMs believed while they decided.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+
+use clap::Args;
+use quick_error::quick_error;
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+/// Events that change what a VM believes.
+const BELIEFS: [&str; 9] = [
+    "leader", "failover", "claim", "upstream", "routes", "store", "peer", "detour", "stall",
+];
+
+/// Beliefs that are shown for each VM before the request's last line.
+const BELIEFS_SHOWN: usize = 8;
+
+/// Fields that every line has, or that the report shows apart.
+const COMMON: [&str; 6] = ["msg", "level", "ts", "vm", "event", "request"];
+
+quick_error! {
+    /// Why a request can't be explained.
+    #[derive(Debug)]
+    pub enum Error {
+        /// A log can't be read.
+        File(path: PathBuf, err: std::io::Error) {
+            display("{}: {}", path.display(), err)
+            source(err)
+        }
+        /// No log names the request.
+        Unknown(request: String) {
+            display("no log names the request {request}")
+        }
+        /// The report can't be written as JSON.
+        Json(err: serde_json::Error) {
+            display("{}", err)
+            source(err)
+            from()
+        }
+    }
+}
+
+/// Options of `explain`.
+#[derive(Debug, Args)]
+pub struct Options {
+    /// Id of the request.
+    request: String,
+    /// Logs of the VMs, one JSON object a line.
+    #[arg(required = true)]
+    logs: Vec<PathBuf>,
+    /// Prints the report as JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+/// One line of a log.
+#[derive(Clone, Debug, Serialize)]
+struct Line {
+    time: String,
+    vm: String,
+    event: String,
+    message: String,
+    fields: Map<String, Value>,
+}
+
+/// What the logs say of a request.
+#[derive(Clone, Debug, Default, Serialize)]
+struct Report {
+    request: String,
+    /// What decided the outcome.
+    outcome: String,
+    /// Decisions on the request, in the order of their times.
+    decisions: Vec<Line>,
+    /// What the deciding VMs believed, in the order of their times.
+    beliefs: Vec<Line>,
+    /// Lines that can't be read.
+    unreadable: usize,
+}
+
+/// Prints what decided the outcome of a request.
+pub fn run(options: &Options) -> Result<(), Error> {
+    let report = explain(options)?;
+    if options.json {
+        println!("{}", serde_json::to_string_pretty(&report)?);
+        return Ok(());
+    }
+    println!("request {}: {}", report.request, report.outcome);
+    print("decisions", &report.decisions);
+    print("beliefs of the same VMs up to then", &report.beliefs);
+    if report.unreadable > 0 {
+        println!("{} lines can't be read", report.unreadable);
+    }
+    Ok(())
+}
+
+fn print(title: &str, lines: &[Line]) {
+    println!("{title}:");
+    for line in lines {
+        let fields = line.fields.iter().map(|(name, value)| match value {
+            Value::String(text) => format!(" {name}={text}"),
+            other => format!(" {name}={other}"),
+        });
+        let fields: String = fields.collect();
+        println!(
+            "  {} {} {}: {}{fields}",
+            line.time, line.vm, line.event, line.message
+        );
+    }
+}
+
+fn explain(options: &Options) -> Result<Report, Error> {
+    let mut report = Report {
+        request: options.request.clone(),
+        ..Report::default()
+    };
+    // The id is looked for as text first, since most lines concern other requests.
+    let quoted = format!("\"{}\"", options.request);
+    for path in &options.logs {
+        report.unreadable += scan(
+            path,
+            |text| text.contains(&quoted),
+            |line, id| {
+                if id == Some(options.request.as_str()) {
+                    report.decisions.push(line);
+                }
+            },
+        )?;
+    }
+    report.decisions.sort_by(|a, b| a.time.cmp(&b.time));
+    let Some(last) = report.decisions.last() else {
+        return Err(Error::Unknown(options.request.clone()));
+    };
+    report.outcome = outcome(last);
+    let end = last.time.clone();
+    let mut beliefs: BTreeMap<String, Vec<Line>> = BTreeMap::new();
+    for line in &report.decisions {
+        beliefs.entry(line.vm.clone()).or_default();
+    }
+    for path in &options.logs {
+        scan(
+            path,
+            |_| true,
+            |line, _| {
+                let concerns = BELIEFS.contains(&line.event.as_str()) && line.time <= end;
+                if concerns && let Some(known) = beliefs.get_mut(&line.vm) {
+                    known.push(line);
+                    if known.len() > BELIEFS_SHOWN {
+                        known.remove(0);
+                    }
+                }
+            },
+        )?;
+    }
+    report.beliefs = beliefs.into_values().flatten().collect();
+    report.beliefs.sort_by(|a, b| a.time.cmp(&b.time));
+    Ok(report)
+}
+
+/// Says in words what the last decision made of the request.
+fn outcome(last: &Line) -> String {
+    let field = |name: &str| last.fields.get(name).and_then(Value::as_str).unwrap_or("-");
+    match last.event.as_str() {
+        "failure" => format!("failed as {}, since {}", field("code"), field("detail")),
+        "unconfirmed" => "acknowledged by the primary alone".to_owned(),
+        "try" => "answered after further tries".to_owned(),
+        other => format!("last seen in {other}"),
+    }
+}
+
+/// Passes the wanted lines of a log on, with the request that each names; returns the number of
+/// wanted lines that can't be read.
+fn scan(
+    path: &Path,
+    wanted: impl Fn(&str) -> bool,
+    mut take: impl FnMut(Line, Option<&str>),
+) -> Result<usize, Error> {
+    let failed = |err| Error::File(path.to_owned(), err);
+    let mut reader = BufReader::new(File::open(path).map_err(failed)?);
+    let (mut bytes, mut unreadable) = (Vec::new(), 0);
+    loop {
+        bytes.clear();
+        if reader.read_until(b'\n', &mut bytes).map_err(failed)? == 0 {
+            return Ok(unreadable);
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        if !wanted(&text) {
+            continue;
+        }
+        match serde_json::from_str::<Map<String, Value>>(&text) {
+            Ok(fields) => {
+                let id = fields
+                    .get("request")
+                    .and_then(Value::as_str)
+                    .map(str::to_owned);
+                take(line(fields), id.as_deref());
+            }
+            Err(_) => unreadable += 1,
+        }
+    }
+}
+
+fn line(mut fields: Map<String, Value>) -> Line {
+    let text = |name: &str| {
+        let value = fields.get(name).and_then(Value::as_str);
+        value.unwrap_or_default().to_owned()
+    };
+    let (time, vm) = (text("ts"), text("vm"));
+    let (event, message) = (text("event"), text("msg"));
+    fields.retain(|name, _| !COMMON.contains(&name.as_str()));
+    Line {
+        time,
+        vm,
+        event,
+        message,
+        fields,
+    }
+}
--- a/chervildrift/src/lib.rs
+++ b/chervildrift/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod control_store;
 pub mod declare;
+pub mod explain;
 pub mod gossip;
 pub mod http;
 pub mod logs;
