--- /dev/null
+++ b/chervildrift/src/relay/claims.rs
@@ -0,0 +1,108 @@
+//! Claims of services, by which one VM at a time may order promotions.
+//!
+//! A claim is a record in the platform's store with a fencing token that only rises, written under
+//! the condition that the last one is unchanged.
+
+use std::time::Duration;
+
+use chervildrift_core::relay::Claim;
+use chervildrift_core::types::{Service, Vm};
+use chervildrift_platform::store::{Error, Listing, Transaction, Written};
+use serde::de::DeserializeOwned;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use super::node::Node;
+use super::presence::{live_peers, row};
+
+/// Tries of a write whose answers are lost.
+const TRIES: u32 = 6;
+
+/// Pause between such tries.
+const PAUSE: Duration = Duration::from_millis(150);
+
+/// Returns the key of a service's claim.
+pub(super) fn claim_key(service: &Service) -> String {
+    format!("claim/{service}")
+}
+
+/// Raises the fencing token of a service; false if another VM was first.
+pub(super) async fn take_claim(
+    node: &Node,
+    service: &Service,
+    claim: &Claim,
+    version: u64,
+) -> Result<bool, Error> {
+    let key = claim_key(service);
+    let value = serde_json::to_vec(claim).unwrap_or_default();
+    let write = Transaction::default()
+        .require(row(&key), version)
+        .put(row(&key), value);
+    let mut last = Error::NoAnswer;
+    for _ in 0..TRIES {
+        let taken = match node.store.write(&write).await {
+            Ok(Written::Done(_)) => true,
+            Ok(Written::Conflict(listing)) => {
+                // An earlier try may have taken effect without an answer.
+                let held = listing.rows.iter().find(|row| row.key == key);
+                let held: Option<Claim> = held.and_then(|row| decode(row.value.as_deref()));
+                held.is_some_and(|held| held == *claim)
+            }
+            Err(err) => {
+                last = err;
+                sleep(PAUSE).await;
+                continue;
+            }
+        };
+        if taken {
+            info!(node.log, "service claimed"; "event" => "claim", "service" => %service,
+                "token" => claim.token);
+            node.claims
+                .borrow_mut()
+                .insert(service.clone(), claim.token);
+        }
+        return Ok(taken);
+    }
+    Err(last)
+}
+
+/// Claims services ahead of any need, so that a leader can be replaced while the store is away.
+///
+/// The first VM in a service's order does so once the holder of the last claim no longer runs.
+pub(super) async fn hold_claims(node: &Node, listing: &Listing) {
+    let live: Vec<Vm> = live_peers(listing).into_iter().map(|it| it.vm).collect();
+    let services = node.routes.borrow().services();
+    for service in services {
+        let key = claim_key(&service);
+        let held = listing.rows.iter().find(|row| row.key == key);
+        let version = held.map_or(0, |row| row.version);
+        let held: Option<Claim> = held.and_then(|row| decode(row.value.as_deref()));
+        let mine = |it: &Claim| it.vm == node.settings.vm && it.boot == node.boot;
+        if !held.as_ref().is_some_and(mine) {
+            node.claims.borrow_mut().remove(&service);
+        }
+        let spread = chervildrift_core::placement::digest(service.as_str());
+        let first = live.get((spread % live.len().max(1) as u64) as usize);
+        let vacant = held.as_ref().is_none_or(|it| !live.contains(&it.vm));
+        if first != Some(&node.settings.vm) || !vacant {
+            continue;
+        }
+        let claim = Claim {
+            vm: node.settings.vm.clone(),
+            boot: node.boot,
+            token: held.map_or(0, |it| it.token) + 1,
+            replaces: None,
+            // Nothing was ordered under the claim, so a failover need not wait for it.
+            at: 0,
+        };
+        if let Err(err) = take_claim(node, &service, &claim, version).await {
+            warn!(node.log, "service not claimed"; "event" => "claim", "service" => %service,
+                "error" => %err);
+        }
+    }
+}
+
+/// Reads a record; one that can't be read counts as absent.
+pub(super) fn decode<T: DeserializeOwned>(value: Option<&[u8]>) -> Option<T> {
+    serde_json::from_slice(value?).ok()
+}
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! leaders' logs and replace leaders that are dead or leave.
 
 mod answer;
+mod claims;
 mod clock;
 mod confirm;
 mod error;
@@ -22,6 +23,7 @@
 mod start;
 mod stop;
 mod transaction;
+mod turn;
 mod watch;
 
 pub use self::error::Error;
--- a/chervildrift/src/relay/presence.rs
+++ b/chervildrift/src/relay/presence.rs
@@ -9,7 +9,7 @@
 use slog::warn;
 use tokio::time::sleep;
 
-use super::failover;
+use super::claims;
 use super::node::Node;
 
 /// Table of the VMs' own records.
@@ -68,7 +68,7 @@
                 peers.push(me(node));
             }
             node.take_peers(peers);
-            failover::hold_claims(node, &listing).await;
+            claims::hold_claims(node, &listing).await;
             true
         }
         Err(err) => {
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Access, Code, Consistency, Floor, Route, Session, Shape};
+use chervildrift_core::relay::{Access, Code, Floor, Route, Session, Shape};
 use chervildrift_core::types::{Caller, Mark, Upstream};
 use chervildrift_platform::wire::{COMMIT, Command, State};
 use tokio::time::sleep;
@@ -18,7 +18,7 @@
 use super::link::Reply;
 use super::node::Node;
 use super::pool::Lease;
-use super::single::{Target, Turn};
+use super::turn::{Target, Turn};
 
 /// Tries of one statement that the upstream has no room for.
 const BUSY_TRIES: u32 = 5;
@@ -269,11 +269,3 @@
         }
     });
 }
-
-/// Tells whether reads of a route may run at a replica.
-pub(super) const fn staleness(route: &Route) -> Option<Duration> {
-    match route.consistency {
-        Consistency::Primary => None,
-        Consistency::Bounded(bound) | Consistency::Session(bound) => Some(bound),
-    }
-}
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -99,6 +99,7 @@
     }
 
     /// Returns the entries of all databases by their ids.
+    #[must_use]
     pub fn entries(&self) -> Vec<(String, serde_json::Value)> {
         self.database.entries()
     }
