Look for the failure line itself in the test of logged failures

The lines on tries, added since, name the request as well, so the first line found was another one; the test now asks for both lines and their fields.

--- a/chervildrift/tests/relay_records.rs
+++ b/chervildrift/tests/relay_records.rs
@@ -45,19 +45,21 @@
     let id = id();
     let answer = session.send(&format!("QUERY {id} WRITE x 1")).await;
     assert_eq!(answer.code(), "INDOUBT");
-    let find = || {
+    let find = |event: &str| {
         let log = vm.log();
-        log.into_iter().find(|line| line["request"] == id.as_str())
+        let mut lines = log
+            .into_iter()
+            .filter(|line| line["request"] == id.as_str());
+        lines.find(|line| line["event"] == event)
     };
-    await_true("log line", async || find().is_some()).await;
-    let line = find().expect("a line");
+    await_true("log line", async || find("failure").is_some()).await;
+    let failure = find("failure").expect("a line");
+    assert_eq!(failure["code"], "in_doubt");
+    let detail = failure["detail"].as_str().unwrap_or_default();
+    assert!(detail.contains("closed by the upstream"), "{failure}");
+    let tried = find("try").expect("a line on the try");
     assert_eq!(
-        (&line["event"], &line["code"]),
-        (&"failure".into(), &"in_doubt".into())
-    );
-    assert!(
-        line["detail"]
-            .as_str()
-            .is_some_and(|it| it.contains("closed by the upstream"))
+        (&tried["upstream"], &tried["place"]),
+        (&"i-0".into(), &"leader".into())
     );
 }
