Model the freshness of reads at random, and wait for carried connections at a stop

A stopping VM takes no new connections of others and waits half its grace period for those it carries.

--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -60,6 +60,8 @@
     pub claims: RefCell<HashMap<Service, u64>>,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
+    /// Connections that this VM carries to upstreams for others.
+    pub tunnels: Cell<usize>,
     /// Wakes those who wait for a leader.
     pub changed: Notify,
     /// Services whose replicas are being asked what they have received.
--- a/chervildrift/src/relay/peers.rs
+++ b/chervildrift/src/relay/peers.rs
@@ -20,6 +20,7 @@
 
 use super::clock;
 use super::node::Node;
+use super::stop::Stage;
 
 /// Question for what a VM knows.
 const BELIEFS: &str = "BELIEFS";
@@ -85,6 +86,10 @@
     let Some(upstream) = line.strip_prefix(TUNNEL).map(Upstream::from) else {
         return Ok(());
     };
+    if *node.stage.borrow() > Stage::Serving {
+        // The connection would soon be cut.
+        return Ok(());
+    }
     let address = node.directory.borrow().get(&upstream).map(|it| it.address);
     let Some(address) = address else {
         return Ok(());
@@ -99,8 +104,10 @@
     inward
         .write_all([CONNECTED, "\n"].concat().as_bytes())
         .await?;
-    copy_bidirectional(&mut inward, &mut outward).await?;
-    Ok(())
+    node.tunnels.set(node.tunnels.get() + 1);
+    let carried = copy_bidirectional(&mut inward, &mut outward).await;
+    node.tunnels.set(node.tunnels.get() - 1);
+    carried.map(|_bytes| ())
 }
 
 fn beliefs(node: &Node) -> Beliefs {
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -88,6 +88,7 @@
         lost: Cell::default(),
         claims: RefCell::default(),
         sessions: Cell::default(),
+        tunnels: Cell::default(),
         changed: Notify::new(),
         confirming: RefCell::default(),
         received: Notify::new(),
--- a/chervildrift/src/relay/stop.rs
+++ b/chervildrift/src/relay/stop.rs
@@ -45,7 +45,9 @@
     enter(node, Stage::Closing);
     let ending = start + grace / 2;
     let end = start + grace.saturating_sub(RESERVE);
-    while node.sessions.get() > 0 && Instant::now() < end {
+    // Connections that are carried for other VMs end as these close them for being idle.
+    let is_busy = |now| node.sessions.get() > 0 || node.tunnels.get() > 0 && now < ending;
+    while is_busy(Instant::now()) && Instant::now() < end {
         if Instant::now() >= ending {
             enter(node, Stage::Ending);
         }
--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -94,6 +94,13 @@
     let ready = lines.next_line().await.ok().flatten();
     assert_eq!(ready.as_deref(), Some("READY I 1.0"));
     assert_eq!(ask("TUNNEL elsewhere").await.1, None);
+    fleet.vms[0].signal("TERM");
+    fleet.vms[0].await_ready(false).await;
+    let begin = b"QUERY - BEGIN\r\n";
+    lines.get_mut().write_all(begin).await.expect("sent");
+    let complete = lines.next_line().await.ok().flatten();
+    assert_eq!(complete.as_deref(), Some("COMPLETE -"), "cut by the stop");
+    assert_eq!(ask("TUNNEL i-0").await.1, None, "taken while stopping");
     assert_eq!(ask("NONSENSE").await.1, None);
 }
 
--- /dev/null
+++ b/chervildrift_core/tests/relay_model.rs
@@ -0,0 +1,269 @@
+//! Random histories of one service: commits, lag, promotions that roll back, late answers, and reads
+//! at every upstream that the decisions allow.
+//!
+//! `CHERVILDRIFT_CASES` sets the number of histories; proptest prints the history that fails and
+//! `PROPTEST_RNG_SEED` repeats a run.
+
+use std::time::Duration;
+
+use chervildrift_core::relay::{Floor, Group, Own};
+use chervildrift_core::types::{Mark, Time, Upstream};
+use proptest::prelude::*;
+
+/// Upstreams of the service.
+const MEMBERS: usize = 3;
+
+/// Sessions of callers.
+const SESSIONS: usize = 3;
+
+/// Histories of a run in CI.
+const CASES: u32 = 400;
+
+/// Staleness bound of the routes.
+const BOUND: Duration = Duration::from_millis(1_500);
+
+/// One step of a history.
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    /// A session commits through the VM, or through another one that knows the leader.
+    Commit(usize, bool),
+    Receive(usize),
+    Apply(usize),
+    Promote(usize),
+    /// The VM asks the leader it believes in; the answer arrives after this time.
+    Ask(u64),
+    /// The VM reads the roles that the upstreams report.
+    Report,
+    Read(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1_u64..700).prop_map(Step::Wait),
+        4 => (0..SESSIONS, any::<bool>()).prop_map(|(it, own)| Step::Commit(it, own)),
+        4 => (0..MEMBERS).prop_map(Step::Receive),
+        4 => (0..MEMBERS).prop_map(Step::Apply),
+        1 => (0..MEMBERS).prop_map(Step::Promote),
+        3 => (1_u64..400).prop_map(Step::Ask),
+        1 => Just(Step::Report),
+        4 => (0..SESSIONS).prop_map(Step::Read),
+    ]
+}
+
+#[derive(Clone, Debug, Default)]
+struct Member {
+    log: Vec<Mark>,
+    applied: usize,
+}
+
+#[derive(Clone, Debug)]
+struct Commit {
+    mark: Mark,
+    session: usize,
+    at: Time,
+}
+
+/// An answer that is on its way to the VM.
+#[derive(Clone, Debug)]
+struct Answer {
+    asked: Time,
+    arrives: Time,
+    member: usize,
+    /// Position of a leader, or nothing if the upstream refused to lead.
+    mark: Option<Mark>,
+}
+
+struct World {
+    now: Time,
+    members: Vec<Member>,
+    leader: usize,
+    term: u64,
+    commits: Vec<Commit>,
+    group: Group,
+    own: [Option<Own>; SESSIONS],
+    answers: Vec<Answer>,
+    reads: usize,
+}
+
+fn name(member: usize) -> Upstream {
+    Upstream::from(format!("i-{member}"))
+}
+
+impl World {
+    fn open() -> Self {
+        let mut group = Group::default();
+        group.lead(Time(0), &name(0));
+        Self {
+            now: Time(0),
+            members: vec![Member::default(); MEMBERS],
+            leader: 0,
+            term: 1,
+            commits: Vec::new(),
+            group,
+            own: [None; SESSIONS],
+            answers: Vec::new(),
+            reads: 0,
+        }
+    }
+
+    fn take(&mut self, step: &Step) {
+        match *step {
+            Step::Wait(ms) => self.wait(ms),
+            Step::Commit(session, here) => self.commit(session, here),
+            Step::Receive(member) => {
+                let log = self.members[self.leader].log.clone();
+                let target = &mut self.members[member].log;
+                if target.len() < log.len() {
+                    target.push(log[target.len()]);
+                }
+            }
+            Step::Apply(member) => {
+                let member = &mut self.members[member];
+                member.applied = (member.applied + 1).min(member.log.len());
+            }
+            Step::Promote(member) => self.promote(member),
+            Step::Ask(ms) => self.ask(ms),
+            Step::Report => {
+                self.group.lead(self.now, &name(self.leader));
+            }
+            Step::Read(session) => self.read(session),
+        }
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        let now = self.now;
+        let (arrived, rest) = self.answers.drain(..).partition(|it| it.arrives <= now);
+        self.answers = rest;
+        let arrived: Vec<Answer> = arrived;
+        for answer in arrived {
+            let upstream = name(answer.member);
+            match answer.mark {
+                Some(mark) => self.group.sample(now, answer.asked, &upstream, mark),
+                None => self.group.refuse(answer.asked, &upstream, 1),
+            }
+        }
+    }
+
+    fn commit(&mut self, session: usize, here: bool) {
+        let believed = self.group.leader() == Some(&name(self.leader));
+        if here && !believed {
+            return;
+        }
+        let leader = &mut self.members[self.leader];
+        let mark = Mark::new(self.term, leader.log.len() as u64 + 1);
+        leader.log.push(mark);
+        leader.applied = leader.log.len();
+        let at = self.now;
+        self.commits.push(Commit { mark, session, at });
+        if here {
+            self.own[session] = Some(self.group.own(Some(mark)));
+        } else {
+            // A session belongs to one VM, so a commit elsewhere is another session's.
+            self.commits.last_mut().expect("a commit").session = SESSIONS;
+        }
+    }
+
+    fn promote(&mut self, member: usize) {
+        if member == self.leader {
+            return;
+        }
+        self.leader = member;
+        self.term += 1;
+        let log = self.members[member].log.clone();
+        for other in &mut self.members {
+            let common = other
+                .log
+                .iter()
+                .zip(&log)
+                .take_while(|(a, b)| a == b)
+                .count();
+            other.log.truncate(common);
+            other.applied = other.applied.min(common);
+        }
+        self.members[member].applied = log.len();
+        self.commits.retain(|commit| log.contains(&commit.mark));
+    }
+
+    fn ask(&mut self, ms: u64) {
+        let Some(believed) = self.group.leader().cloned() else {
+            return;
+        };
+        let member = (0..MEMBERS)
+            .find(|it| name(*it) == believed)
+            .expect("a member");
+        let last = self.members[member].log.last().copied();
+        let mark = (member == self.leader).then(|| last.unwrap_or(Mark::new(1, 0)));
+        self.answers.push(Answer {
+            asked: self.now,
+            arrives: self.now + Duration::from_millis(ms),
+            member,
+            mark,
+        });
+    }
+
+    /// Reads wherever the decisions allow it and checks what the upstream has.
+    fn read(&mut self, session: usize) {
+        for (own, bounded) in [(None, true), (self.own[session], false)] {
+            let Floor::At(floor) = self.group.floor(self.now, BOUND, own) else {
+                continue;
+            };
+            for (index, member) in self.members.iter().enumerate() {
+                let applied = &member.log[..member.applied];
+                if floor.position.0 > 0 && !applied.contains(&floor) {
+                    continue;
+                }
+                self.reads += 1;
+                for commit in &self.commits {
+                    let old = self.now.since(commit.at) > BOUND;
+                    let mine = !bounded && commit.session == session;
+                    assert!(
+                        !(old || mine) || applied.contains(&commit.mark),
+                        "a read of session {session} at {index} after {floor} lacks {commit:?}"
+                    );
+                }
+            }
+        }
+    }
+}
+
+fn cases() -> u32 {
+    let wanted = std::env::var("CHERVILDRIFT_CASES").ok();
+    wanted.and_then(|it| it.parse().ok()).unwrap_or(CASES)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    /// Guards against reads at upstreams that lack a commit which the route or the session asks for.
+    #[test]
+    fn fresh_reads(steps in proptest::collection::vec(step(), 1..120)) {
+        let mut world = World::open();
+        for step in &steps {
+            world.take(step);
+        }
+    }
+}
+
+/// Guards against a model in which no read is ever allowed, which would prove nothing.
+#[test]
+fn allowed_reads() {
+    let mut world = World::open();
+    for step in [
+        Step::Commit(0, true),
+        Step::Ask(10),
+        Step::Wait(20),
+        Step::Receive(1),
+        Step::Apply(1),
+        Step::Read(0),
+        Step::Promote(1),
+        Step::Report,
+        Step::Ask(10),
+        Step::Wait(20),
+        Step::Read(0),
+    ] {
+        world.take(&step);
+    }
+    assert!(world.reads >= 4, "only {} reads", world.reads);
+}
