End a round of votes as soon as enough VMs agree

Change: votes are counted as they come, a round takes 250 ms at most, and no claim is made while an order may be under way.

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -9,7 +9,7 @@
 use chervildrift_platform::store::{Error, Listing, Transaction};
 use futures::future::join_all;
 use slog::{info, warn};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::claims::{claim_key, decode, take_claim};
 use super::clock;
@@ -21,6 +21,9 @@
 /// Interval at which the votes are counted.
 const POLL: Duration = Duration::from_millis(150);
 
+/// Time for one round of votes among the VMs; the next one finds those that have changed their mind.
+const VOTE_LIMIT: Duration = Duration::from_millis(250);
+
 /// Pause between two orders while the store is away; it covers the start of the new leader.
 const ORDER_PAUSE: Duration = Duration::from_secs(4);
 
@@ -128,6 +131,8 @@
         match stance(&self.node.settings.vm, &case) {
             Stance::Wait => Ok(POLL),
             Stance::Later(pause) => Ok(pause.min(POLL)),
+            // An order that was given while the store was away is still under way.
+            Stance::Claim(_) if self.has_ordered() => Ok(POLL),
             Stance::Claim(token) => {
                 let version = records.claim.map_or(0, |(_, version)| version);
                 let claim = Claim {
@@ -183,26 +188,29 @@
         Ok(())
     }
 
+    /// Tells whether a promotion may be under way.
+    fn has_ordered(&self) -> bool {
+        let now = clock::now();
+        self.ordered.is_some_and(|at| now.since(at) < ORDER_PAUSE)
+    }
+
     /// Orders a promotion under a token that this VM holds already, if the others agree.
     async fn step_without_store(&mut self, promotions: &Promotions) {
         let Some(token) = self.node.claims.borrow().get(self.service).copied() else {
             return;
         };
-        let now = clock::now();
-        if self.ordered.is_some_and(|at| now.since(at) < ORDER_PAUSE) {
+        if self.has_ordered() {
             return;
         }
         if !self.planned {
-            let beliefs = peers::ask_all(self.node).await;
-            let agreeing = beliefs
-                .iter()
-                .filter(|it| it.agrees(self.service, self.leader));
-            // This VM itself counts as well.
-            if (agreeing.count() + 1) * 2 <= self.node.vms.get() {
+            // More than half of the VMs, of which this one is one.
+            let enough = self.node.vms.get() / 2;
+            let asked = peers::agree(self.node, self.service, self.leader, enough);
+            if !timeout(VOTE_LIMIT, asked).await.unwrap_or(false) {
                 return;
             }
         }
-        self.ordered = Some(now);
+        self.ordered = Some(clock::now());
         self.promote(promotions, token).await;
     }
 
--- a/chervildrift/src/relay/peers.rs
+++ b/chervildrift/src/relay/peers.rs
@@ -11,7 +11,8 @@
 use chervildrift_core::relay::{Beliefs, Judgement, Peer};
 use chervildrift_core::types::{Service, Upstream};
 use futures::StreamExt;
-use futures::future::{join_all, select_ok};
+use futures::future::select_ok;
+use futures::stream::FuturesUnordered;
 use slog::{debug, info, warn};
 use tokio::io::{AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
@@ -145,11 +146,24 @@
     timeout(ASK_LIMIT, exchange).await.ok()?
 }
 
-/// Asks all other VMs what they know.
-pub(super) async fn ask_all(node: &Node) -> Vec<Beliefs> {
-    let others = addresses(node);
-    let asked = join_all(others.into_iter().map(ask)).await;
-    asked.into_iter().flatten().collect()
+/// Asks the other VMs whether they agree that a leader has to be replaced; returns as soon as enough
+/// of them do, since some may not answer at all.
+pub(super) async fn agree(
+    node: &Node,
+    service: &Service,
+    leader: Option<&Upstream>,
+    enough: usize,
+) -> bool {
+    let mut asked: FuturesUnordered<_> = addresses(node).into_iter().map(ask).collect();
+    let mut agreeing = 0;
+    while agreeing < enough {
+        match asked.next().await {
+            Some(Some(beliefs)) if beliefs.agrees(service, leader) => agreeing += 1,
+            Some(_) => {}
+            None => return false,
+        }
+    }
+    true
 }
 
 /// Returns the listeners of all other VMs that are known.
--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -39,23 +39,24 @@
     .await;
 }
 
-/// Guards against a primary that stays dead for as long as the store is away.
-#[tokio::test(flavor = "multi_thread")]
-async fn storeless_failover() {
-    let fleet = Fleet::spawn(3, &Options::default()).await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
-    let logged = |vm: &relayed::Vm, event: &str, field: &str, value: u64| {
+/// Waits until all VMs count each other and one has claimed the service.
+async fn await_claim(fleet: &Fleet) {
+    let logged = |vm: &relayed::Vm, event: &str, field: &str, value: usize| {
         let log = vm.log();
         let mut lines = log.iter().rev().filter(|line| line["event"] == event);
         lines.next().is_some_and(|line| line[field] == value)
     };
-    await_true("fleet of three with a claim", async || {
+    await_true("whole fleet with a claim", async || {
         let vms = &fleet.vms;
-        vms.iter().all(|vm| logged(vm, "presence", "vms", 3))
+        vms.iter()
+            .all(|vm| logged(vm, "presence", "vms", vms.len()))
             && vms.iter().any(|vm| logged(vm, "claim", "token", 1))
     })
     .await;
+}
+
+/// Makes the primary silent while the store is away and returns how long it stays unreplaced.
+async fn replace_without_store(fleet: &Fleet) -> Duration {
     fleet.platform.store.set_down(true);
     tokio::time::sleep(Duration::from_secs(1)).await;
     fleet.platform.database.set_dark(0, true);
@@ -64,11 +65,38 @@
         fleet.platform.database.primary() != Some(0)
     })
     .await;
-    assert!(start.elapsed() <= GAP, "{:?}", start.elapsed());
+    start.elapsed()
+}
+
+/// Guards against a primary that stays dead for as long as the store is away.
+#[tokio::test(flavor = "multi_thread")]
+async fn storeless_failover() {
+    let fleet = Fleet::spawn(3, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    await_claim(&fleet).await;
+    let gap = replace_without_store(&fleet).await;
+    assert!(gap <= GAP, "{gap:?}");
     let answer = session.run("WRITE x 2").await;
     assert!(answer.is_signed(), "{answer:?} {:#?}", fleet.vms[0].log());
 }
 
+/// Guards against a failover that waits for VMs which do not answer although enough others do.
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_voter() {
+    let fleet = Fleet::spawn(5, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    await_claim(&fleet).await;
+    let holds = |vm: &&relayed::Vm| vm.log().iter().any(|line| line["event"] == "claim");
+    let frozen = fleet.vms.iter().rev().find(|vm| !holds(vm));
+    let frozen = frozen.expect("a VM without a claim");
+    frozen.signal("STOP");
+    let gap = replace_without_store(&fleet).await;
+    frozen.signal("CONT");
+    assert!(gap <= GAP, "{gap:?}");
+}
+
 /// Guards against a VM that is cut off from an upstream which its peers can reach.
 #[tokio::test(flavor = "multi_thread")]
 async fn tunnelled_upstream() {
