--- a/chervildrift/src/relay/claims.rs
+++ b/chervildrift/src/relay/claims.rs
@@ -8,6 +8,7 @@
 use chervildrift_core::relay::Claim;
 use chervildrift_core::types::{Service, Vm};
 use chervildrift_platform::store::{Error, Listing, Transaction, Written};
+use serde::Serialize;
 use serde::de::DeserializeOwned;
 use slog::{info, warn};
 use tokio::time::sleep;
@@ -34,10 +35,9 @@
     version: u64,
 ) -> Result<bool, Error> {
     let key = claim_key(service);
-    let value = serde_json::to_vec(claim).unwrap_or_default();
     let write = Transaction::default()
         .require(row(&key), version)
-        .put(row(&key), value);
+        .put(row(&key), encode(claim));
     let mut last = Error::NoAnswer;
     for _ in 0..TRIES {
         let taken = match node.store.write(&write).await {
@@ -102,6 +102,12 @@
     }
 }
 
+/// Writes a record.
+pub(super) fn encode<T: Serialize>(record: &T) -> Vec<u8> {
+    // Records hold names and numbers only.
+    serde_json::to_vec(record).expect("a record encodes")
+}
+
 /// Reads a record; one that can't be read counts as absent.
 pub(super) fn decode<T: DeserializeOwned>(value: Option<&[u8]>) -> Option<T> {
     serde_json::from_slice(value?).ok()
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -11,7 +11,7 @@
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
-use super::claims::{claim_key, decode, take_claim};
+use super::claims::{claim_key, decode, encode, take_claim};
 use super::clock;
 use super::confirm::received;
 use super::node::Node;
@@ -181,8 +181,7 @@
             leader: self.leader.cloned(),
             at: store_ms,
         };
-        let value = serde_json::to_vec(&vote).unwrap_or_default();
-        let write = Transaction::default().put(row(&key), value);
+        let write = Transaction::default().put(row(&key), encode(&vote));
         self.node.store.write(&write).await?;
         self.voted = Some(now);
         Ok(())
--- a/chervildrift/src/relay/presence.rs
+++ b/chervildrift/src/relay/presence.rs
@@ -56,8 +56,7 @@
             at: listing.now_ms,
         };
         let key = key(&node.settings.vm);
-        let value = serde_json::to_vec(&record).unwrap_or_default();
-        let write = Transaction::default().put(row(&key), value);
+        let write = Transaction::default().put(row(&key), claims::encode(&record));
         node.store.write(&write).await?;
         Ok::<_, chervildrift_platform::store::Error>(listing)
     };
--- a/chervildrift/src/try_out/mod.rs
+++ b/chervildrift/src/try_out/mod.rs
@@ -17,6 +17,7 @@
 use sha2::{Digest, Sha256};
 use slog::o;
 use tokio::runtime::Builder;
+use tokio::signal::unix::{SignalKind, signal};
 
 use crate::control_store::{self, Platform};
 use crate::publish::publish;
@@ -106,7 +107,7 @@
     credential: String,
 }
 
-/// Runs the embedded default until Ctrl-C.
+/// Runs the embedded default until Ctrl-C or SIGTERM.
 pub fn run(options: &Options) -> Result<(), Error> {
     let runtime = Builder::new_multi_thread()
         .worker_threads(1)
@@ -115,8 +116,12 @@
     runtime.block_on(async {
         let embedded = Embedded::spawn(options.port, level(&options.log)).await?;
         let lag = lag::bind(embedded.faults())?;
+        let mut term = signal(SignalKind::terminate())?;
         println!("{}", embedded.tour(lag.address()));
-        tokio::signal::ctrl_c().await?;
+        tokio::select! {
+            pressed = tokio::signal::ctrl_c() => pressed?,
+            _ = term.recv() => {}
+        }
         println!("stopping; requests in flight are answered first");
         lag.stop();
         embedded.stop().await;
--- a/chervildrift/tests/operator_commands.rs
+++ b/chervildrift/tests/operator_commands.rs
@@ -3,7 +3,8 @@
 mod demo;
 mod fleet;
 
-use std::process::{Command, Output};
+use std::io::{BufRead, BufReader};
+use std::process::{Command, Output, Stdio};
 
 use demo::{Session, embedded};
 use fleet::{Fleet, await_true};
@@ -53,6 +54,24 @@
     std::fs::remove_dir_all(folder).expect("removes the folder");
 }
 
+/// Guards against an embedded default that a plain signal to stop kills.
+#[test]
+fn stopped_try() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_chervildrift"))
+        .args(["try", "--port", "0"])
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("try starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("an output")).lines();
+    lines.next().expect("the tour").expect("a line");
+    let id = child.id().to_string();
+    let sent = Command::new("kill").args(["-TERM", &id]).status();
+    assert!(sent.expect("kill runs").success());
+    let rest: Vec<String> = lines.map_while(Result::ok).collect();
+    let status = child.wait().expect("the process ends");
+    assert_eq!(status.code(), Some(0), "{rest:?}");
+}
+
 /// Guards against settings of a relaying VM that are wrong and pass.
 #[test]
 fn check_relay_settings() {
