Give no more work to an upstream that has been leaving for 5.5 s

Change: a leader that has drained, or been gone, for 5.5 s counts as closed, and requests for it are held for the next one.

--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -107,7 +107,7 @@
                 "draining" => entry.draining, "version" => entry.version);
         }
         let service = entry.service.clone();
-        self.directory.borrow_mut().put(entry);
+        self.directory.borrow_mut().put(clock::now(), entry);
         self.follow_reports(&service);
     }
 
@@ -217,7 +217,8 @@
                 let changed = self.changed.notified();
                 let now = clock::now();
                 let leader = self.with_group(service, |group| group.trusted(now).cloned());
-                if let Some(leader) = leader {
+                let open = |leader: &Upstream| !self.directory.borrow().is_closed(now, leader);
+                if let Some(leader) = leader.filter(open) {
                     return leader;
                 }
                 // A suspected leader may also answer again, which nobody announces.
--- a/chervildrift_core/src/relay/directory.rs
+++ b/chervildrift_core/src/relay/directory.rs
@@ -20,6 +20,11 @@
 /// return.
 const LAPSE_LEAVING: Duration = Duration::from_millis(2_200);
 
+/// Time after which an upstream that drains gets no more work.
+///
+/// Users are promised seven seconds; a statement may wait for its turn for a part of that.
+const DRAIN_LIMIT: Duration = Duration::from_millis(5_500);
+
 /// An upstream as the platform lists it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Entry {
@@ -48,11 +53,18 @@
 pub struct Directory {
     entries: HashMap<Upstream, Entry>,
     lapsed: HashMap<Upstream, Time>,
+    /// When each draining upstream was first seen to drain.
+    draining: HashMap<Upstream, Time>,
 }
 
 impl Directory {
     /// Takes in a new or changed entry.
-    pub fn put(&mut self, entry: Entry) {
+    pub fn put(&mut self, now: Time, entry: Entry) {
+        if entry.draining {
+            self.draining.entry(entry.upstream.clone()).or_insert(now);
+        } else {
+            self.draining.remove(&entry.upstream);
+        }
         self.lapsed.remove(&entry.upstream);
         self.entries.insert(entry.upstream.clone(), entry);
     }
@@ -68,6 +80,7 @@
     pub fn drop_now(&mut self, upstream: &Upstream) {
         self.entries.remove(upstream);
         self.lapsed.remove(upstream);
+        self.draining.remove(upstream);
     }
 
     /// Takes in the names of a full listing; entries that it lacks lapse.
@@ -101,6 +114,14 @@
         draining || lapsed.is_some_and(|at| now.since(*at) >= LAPSE_LEAVING)
     }
 
+    /// Tells whether an upstream has been leaving for so long that it must get no more work, even if
+    /// nothing has replaced it.
+    #[must_use]
+    pub fn is_closed(&self, now: Time, upstream: &Upstream) -> bool {
+        let since = self.draining.get(upstream).or(self.lapsed.get(upstream));
+        since.is_some_and(|at| now.since(*at) >= DRAIN_LIMIT)
+    }
+
     /// Returns the entry of an upstream.
     #[must_use]
     pub fn get(&self, upstream: &Upstream) -> Option<&Entry> {
--- a/chervildrift_core/tests/relay_state.rs
+++ b/chervildrift_core/tests/relay_state.rs
@@ -53,10 +53,10 @@
 #[test]
 fn lapsed_entries() {
     let (mut directory, name) = (Directory::default(), Upstream::from("a"));
-    directory.put(entry("a", Role::Primary, 1));
+    directory.put(at(0), entry("a", Role::Primary, 1));
     directory.lapse(at(0), &name);
     assert!(!directory.leaves(at(2_000), &name) && directory.leaves(at(2_200), &name));
-    directory.put(entry("a", Role::Primary, 2));
+    directory.put(at(2_200), entry("a", Role::Primary, 2));
     assert!(directory.expire(at(9_000)).is_empty() && !directory.leaves(at(9_000), &name));
     directory.retain(at(10_000), &[]);
     assert!(directory.expire(at(14_000)).is_empty());
@@ -64,13 +64,26 @@
     assert_eq!(directory.iter().count(), 0);
 }
 
+/// Guards against a leader that leaves and gets work until it is replaced, however late that is.
+#[test]
+fn closed_upstream() {
+    let (mut directory, name) = (Directory::default(), Upstream::from("a"));
+    for ms in [1_000, 3_000] {
+        let mut leaving = entry("a", Role::Primary, ms);
+        leaving.draining = true;
+        directory.put(at(ms), leaving);
+    }
+    assert!(!directory.is_closed(at(6_400), &name));
+    assert!(directory.is_closed(at(6_500), &name));
+}
+
 /// Guards against an outdated report of a primary.
 #[test]
 fn newest_report() {
     let (mut directory, service) = (Directory::default(), Service::from("ledger"));
-    directory.put(entry("a", Role::Primary, 3));
-    directory.put(entry("b", Role::Primary, 7));
-    directory.put(entry("c", Role::Replica, 9));
+    directory.put(at(0), entry("a", Role::Primary, 3));
+    directory.put(at(0), entry("b", Role::Primary, 7));
+    directory.put(at(0), entry("c", Role::Replica, 9));
     let primary = directory.reported_primary(&service).expect("a primary");
     assert_eq!(primary.upstream, Upstream::from("b"));
 }
