Call a write in doubt when its answer is lost after the time of holding

Cause: a write without an answer went through the same path as a read that may be tried again; once hold_ms had passed since the statement came, that path answered busy, which promises that nothing ran. Any installation can meet it after a failover of some seconds. Change: noting a silent target is apart from the choice of another try; a write is always in doubt. Test: relay_leaders held_write, which answered busy before.

--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -104,7 +104,7 @@
         Ok(replies) => replies,
         Err(err) if read => return turn.lost(&target, &err, asked).await.map(|()| Tried::Again),
         Err(err) => {
-            turn.lost(&target, &err, asked).await?;
+            turn.note_silence(&target, &err, asked);
             return Err(Failure::new(Code::InDoubt, err.to_string()));
         }
     };
--- a/chervildrift/src/relay/turn.rs
+++ b/chervildrift/src/relay/turn.rs
@@ -308,7 +308,7 @@
     }
 
     /// Takes in that the target could not be asked or gave no answer, so that a statement which may
-    /// be repeated can be tried elsewhere.
+    /// be repeated can be tried elsewhere; fails if it has been held for too long.
     pub(super) async fn lost(
         &mut self,
         target: &Target,
@@ -323,6 +323,16 @@
                 .refused(target, Some((*code, detail.clone())), asked)
                 .await;
         }
+        self.note_silence(target, err, asked);
+        if self.left().is_zero() {
+            return Err(Failure::new(Code::Busy, err.to_string()));
+        }
+        sleep(PAUSE).await;
+        Ok(())
+    }
+
+    /// Takes in that the target gave no answer, whatever becomes of the statement.
+    pub(super) fn note_silence(&mut self, target: &Target, err: &LinkError, asked: Time) {
         self.node
             .with_group(&self.route.service, |group| group.miss(&target.upstream));
         self.node.metrics.retried(&self.route.kind, "no_answer");
@@ -334,11 +344,6 @@
             pool.failed.set(Some(clock::now()));
             pool.distrust(asked);
         }
-        if self.left().is_zero() {
-            return Err(Failure::new(Code::Busy, err.to_string()));
-        }
-        sleep(PAUSE).await;
-        Ok(())
     }
 }
 
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -125,3 +125,15 @@
     let unconfirmed = lines.iter().filter(|line| line["event"] == "unconfirmed");
     assert_eq!(unconfirmed.count(), 1);
 }
+
+/// Guards against a write that is called not run although it was sent, when its answer is lost after
+/// the time for which statements are held.
+#[tokio::test(flavor = "multi_thread")]
+async fn held_write() {
+    let fleet = Fleet::spawn_with(1, &Options::default(), "hold_ms: 0\n").await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    fleet.platform.database.lose_answers(1);
+    assert_eq!(session.run("WRITE x 2").await.code(), "INDOUBT");
+    assert_eq!(fleet.platform.database.value("x").as_deref(), Some("2"));
+}
