Order no promotion once the leader has been replaced, and none under an old claim

Ruled out: votes; they had been given for the dead primary and were right. Tests: relay_leaders late_claim (primary was 2 instead of 1), relay_elections own_claim.

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Case, Claim, Stance, Vote, furthest, stance};
+use chervildrift_core::relay::{Case, Claim, ORDER_LIMIT, Stance, Vote, furthest, stance};
 use chervildrift_core::types::{Role, Service, Time, Upstream, Vm};
 use chervildrift_platform::promotion::{Error as OrderError, Promotions};
 use chervildrift_platform::store::{Error, Listing, Transaction};
@@ -24,16 +24,13 @@
 /// Time for one round of votes among the VMs; the next one finds those that have changed their mind.
 const VOTE_LIMIT: Duration = Duration::from_millis(250);
 
-/// Pause between two orders while the store is away; it covers the start of the new leader.
+/// Pause after an order that was taken; it covers the start of the new leader.
 const ORDER_PAUSE: Duration = Duration::from_secs(4);
 
 /// Interval at which a vote is renewed.
 const VOTE_RENEWAL: Duration = Duration::from_secs(1);
 
-/// Tries of a write or an order whose answers are lost.
-const TRIES: u32 = 6;
-
-/// Pause between such tries.
+/// Pause before another try of an order, and between two looks while the store is away.
 const PAUSE: Duration = Duration::from_millis(150);
 
 /// One replacement of a leader.
@@ -109,6 +106,7 @@
 
     /// Takes one step and returns the pause before the next one.
     async fn step(&mut self, promotions: &Promotions) -> Result<Duration, Error> {
+        let asked = clock::now();
         let listing = self.node.store.list(TABLE).await?;
         let records = self.records(listing);
         if !self.planned {
@@ -124,6 +122,9 @@
             live: &live,
             votes: &records.votes,
             claim: records.claim.as_ref().map(|(claim, _)| claim),
+            own: records.claim.as_ref().is_some_and(|(claim, _)| {
+                claim.vm == self.node.settings.vm && claim.boot == self.node.boot
+            }),
             store_ms: records.listing.now_ms,
             waited: clock::now().since(self.started),
             spread: chervildrift_core::placement::digest(self.service.as_str()),
@@ -131,7 +132,7 @@
         match stance(&self.node.settings.vm, &case) {
             Stance::Wait => Ok(POLL),
             Stance::Later(pause) => Ok(pause.min(POLL)),
-            // An order that was given while the store was away is still under way.
+            // An order of this VM is still under way.
             Stance::Claim(_) if self.has_ordered() => Ok(POLL),
             Stance::Claim(token) => {
                 let version = records.claim.map_or(0, |(_, version)| version);
@@ -143,7 +144,7 @@
                     at: records.listing.now_ms,
                 };
                 if take_claim(self.node, self.service, &claim, version).await? {
-                    self.promote(promotions, token).await;
+                    self.promote(promotions, token, asked + ORDER_LIMIT).await;
                 }
                 Ok(POLL)
             }
@@ -209,17 +210,20 @@
                 return;
             }
         }
-        self.ordered = Some(clock::now());
-        self.promote(promotions, token).await;
+        let end = clock::now() + ORDER_LIMIT;
+        self.promote(promotions, token, end).await;
     }
 
-    async fn promote(&self, promotions: &Promotions, token: u64) {
+    /// Orders a promotion under a token until it is taken or refused, for as long as the leader has
+    /// to be replaced and no other VM may claim the service.
+    async fn promote(&mut self, promotions: &Promotions, token: u64, end: Time) {
         let Some(target) = self.choose().await else {
             warn!(self.node.log, "no upstream to promote"; "event" => "failover",
                 "service" => %self.service, "token" => token);
             return;
         };
-        for attempt in 0..TRIES {
+        let mut attempt = 0;
+        while self.is_due() && clock::now() < end {
             let vm = &self.node.settings.vm;
             let order = promotions.promote(self.service, &target, vm, token).await;
             info!(self.node.log, "promotion ordered"; "event" => "failover",
@@ -232,8 +236,12 @@
                 Err(_) => "failed",
             };
             self.node.metrics.ordered(self.service, outcome);
+            attempt += 1;
             match order {
-                Ok(()) => return,
+                Ok(()) => {
+                    self.ordered = Some(clock::now());
+                    return;
+                }
                 Err(OrderError::Conflict | OrderError::Rejected(_)) => {
                     self.node.claims.borrow_mut().remove(self.service);
                     return;
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -87,6 +87,28 @@
     assert_eq!(claim["token"], 1, "{claim}");
 }
 
+/// Guards against a promotion over a new primary that was made while the answer to the claim was on
+/// its way.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_claim() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    let token = || {
+        let claim = fleet.platform.store.get("chervildrift", "claim/ledger")?;
+        let claim: serde_json::Value = serde_json::from_slice(&claim).ok()?;
+        claim["token"].as_u64()
+    };
+    await_true("claim", async || token() == Some(1)).await;
+    fleet.platform.store.set_delay(Duration::from_millis(800));
+    fleet.platform.database.set_dark(0, true);
+    await_true("second claim", async || token() == Some(2)).await;
+    fleet.platform.database.promote(&Database::id(1));
+    fleet.platform.register();
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(fleet.platform.database.primary(), Some(1));
+}
+
 /// Guards against a promotion while a minority of the VMs can't reach the primary.
 #[tokio::test(flavor = "multi_thread")]
 async fn store_outage() {
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -18,6 +18,11 @@
 /// It covers an order to the platform and the upstream's start as leader.
 const CLAIM_PAUSE: Duration = Duration::from_secs(4);
 
+/// Time from a claim for which orders are given under it.
+///
+/// Another VM may claim a second later, in which the last order is answered or given up.
+pub const ORDER_LIMIT: Duration = Duration::from_secs(3);
+
 /// Time that each VM waits longer than the one before it in the service's order.
 const STAGGER: Duration = Duration::from_millis(300);
 
@@ -71,6 +76,8 @@
     pub votes: &'a [Vote],
     /// Record of the last claim.
     pub claim: Option<&'a Claim>,
+    /// Whether that claim is one of this process, which knows what it has ordered.
+    pub own: bool,
     /// Time of the platform's store, in milliseconds.
     pub store_ms: u64,
     /// Time since this VM first wanted the change.
@@ -84,6 +91,7 @@
 pub fn stance(me: &Vm, case: &Case<'_>) -> Stance {
     let age = |at: u64| Duration::from_millis(case.store_ms.saturating_sub(at));
     if let Some(claim) = case.claim
+        && !case.own
         && age(claim.at) < CLAIM_PAUSE
     {
         return Stance::Wait;
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -23,7 +23,7 @@
 pub use self::choice::{Candidate, choose};
 pub use self::code::Code;
 pub use self::directory::{Directory, Entry};
-pub use self::election::{Case, Claim, Stance, Vote, furthest, stance};
+pub use self::election::{Case, Claim, ORDER_LIMIT, Stance, Vote, furthest, stance};
 pub use self::group::{Floor, Group, Own};
 pub use self::links::LinkLimit;
 pub use self::membership::{Presence, links_each, live};
--- a/chervildrift_core/tests/relay_elections.rs
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -38,6 +38,7 @@
         live,
         votes,
         claim: None,
+        own: false,
         store_ms: 100_000,
         waited: LONG,
         spread: 3,
@@ -101,6 +102,20 @@
     assert_eq!(stance(&live[0], &later), Stance::Claim(5));
 }
 
+/// Guards against a VM that waits out its own claim after an order under it was refused.
+#[test]
+fn own_claim() {
+    let (leader, live) = (Upstream::from("a"), vms(3));
+    let recent = claim(4, 99_900);
+    let own = Case {
+        planned: true,
+        claim: Some(&recent),
+        own: true,
+        ..case(&leader, &live, &[])
+    };
+    assert_eq!(stance(&live[0], &own), Stance::Claim(5));
+}
+
 /// Guards against all VMs claiming at once.
 #[test]
 fn staggered() {
--- a/chervildrift_standin/src/deployment/http.rs
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -60,11 +60,15 @@
                 .map_or(StatusCode::GONE, |_| StatusCode::OK);
             Ok(reply(status, changes))
         }
-        (&Method::POST, "/v1/rows-tx") => match handle.store.transact(&call) {
-            (_, true, _) => Err(AnswerLost),
-            (true, false, body) => Ok(reply(StatusCode::OK, Some(body))),
-            (false, false, body) => Ok(reply(StatusCode::PRECONDITION_FAILED, Some(body))),
-        },
+        (&Method::POST, "/v1/rows-tx") => {
+            let outcome = handle.store.transact(&call);
+            tokio::time::sleep(handle.store.delay()).await;
+            match outcome {
+                (_, true, _) => Err(AnswerLost),
+                (true, false, body) => Ok(reply(StatusCode::OK, Some(body))),
+                (false, false, body) => Ok(reply(StatusCode::PRECONDITION_FAILED, Some(body))),
+            }
+        }
         (&Method::POST, "/promotion") => {
             let token = head.headers.get("X-Chervildrift-Fencing-Token");
             let token = token.and_then(|it| it.to_str().ok()?.parse().ok());
--- a/chervildrift_standin/src/deployment/store.rs
+++ b/chervildrift_standin/src/deployment/store.rs
@@ -33,6 +33,7 @@
     version: u64,
     down: bool,
     lost_answers: u32,
+    delay: Duration,
 }
 
 /// The platform's store.
@@ -83,6 +84,15 @@
         self.lock().lost_answers = count;
     }
 
+    /// Sets the time between a write and its answer.
+    pub fn set_delay(&self, delay: Duration) {
+        self.lock().delay = delay;
+    }
+
+    pub(super) fn delay(&self) -> Duration {
+        self.lock().delay
+    }
+
     /// Discards the history.
     pub fn compact(&self) {
         let mut state = self.lock();
