Fence the other replicas round a promotion, and count only commits of the same term

Cause: a promotion took the furthest of the replicas that answered. The old primary could also have commits acknowledged by a replica that was not chosen, and a replica that followed a later leader counted as having received a commit of the earlier one under the same number. Ruled out: the order of the logs; positions and terms were compared correctly. Change: as many replicas must answer as make sure that one of them has every acknowledged commit; the others are fenced (they receive nothing) until the promotion, and the chosen one has to have what they have; a fence whose promotion never came is lifted. A commit of a term that has been superseded is in doubt. Tests: relay_leaders silent_witness (promoted i-1, which lacked the commit) and fenced_replicas, relay_succession, relay_freshness superseded_commits and forgotten_fence.

--- a/chervildrift/src/relay/confirm.rs
+++ b/chervildrift/src/relay/confirm.rs
@@ -8,21 +8,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Access, Code, Session};
+use chervildrift_core::relay::{Code, Confirmation};
 use chervildrift_core::types::{Mark, Service, Upstream};
-use chervildrift_platform::wire::{Command, parse_status};
 use futures::future::join_all;
 use slog::warn;
 use tokio::time::{sleep, timeout};
 
 use super::answer::Failure;
 use super::clock;
-use super::keeper::demand;
-use super::link::Reply;
 use super::node::Node;
-
-/// Time for an upstream to tell what it has received.
-const STATUS_LIMIT: Duration = Duration::from_millis(500);
+use super::replicas::{applied, observe};
 
 /// Rounds of questions for applied positions; a replica that lags more applies late, not soon.
 const APPLIED_ROUNDS: u32 = 4;
@@ -51,15 +46,17 @@
     }
     let epoch = node.with_group(commit.service, |group| group.epoch());
     let asked = clock::now();
-    let confirmed = timeout(limit, await_received(node, commit)).await.is_ok();
-    let (leader, now) = node.with_group(commit.service, |group| {
-        (group.leader().cloned(), group.epoch())
+    // Without a confirmation in time the commit is acknowledged and logged below.
+    let _confirmed = timeout(limit, await_received(node, commit)).await;
+    let (kept, confirmation) = node.with_group(commit.service, |group| {
+        let kept = group.leader() == Some(commit.leader) && group.epoch() == epoch;
+        (kept, group.confirmation(commit.mark))
     });
-    if leader.as_ref() != Some(commit.leader) || now != epoch {
+    if !kept || confirmation == Confirmation::Superseded {
         let detail = "the primary was replaced before a replica confirmed the commit";
         return Err(Failure::new(Code::InDoubt, detail));
     }
-    if !confirmed {
+    if confirmation == Confirmation::Missing {
         node.metrics.unconfirmed.inc();
         warn!(node.log, "commit acknowledged by the primary alone"; "event" => "unconfirmed",
             "request" => commit.id, "service" => %commit.service, "upstream" => %commit.leader,
@@ -70,7 +67,11 @@
 
 async fn await_received(node: &Rc<Node>, commit: &Commit<'_>) {
     let mut rounds = 0;
-    while !node.with_group(commit.service, |group| group.has_received(commit.mark)) {
+    let missing = || {
+        let confirmation = node.with_group(commit.service, |group| group.confirmation(commit.mark));
+        confirmation == Confirmation::Missing
+    };
+    while missing() {
         let running = node.confirming.borrow_mut().insert(commit.service.clone());
         if running {
             let _round = Round {
@@ -122,40 +123,12 @@
         sleep(PAUSE).await;
     }
     let asked = replicas.iter().map(|(_, upstream)| async move {
-        let mark = if rounds < APPLIED_ROUNDS {
-            applied(node, upstream).await
-        } else {
-            received(node, upstream).await
-        };
-        if let Some(mark) = mark {
+        if rounds >= APPLIED_ROUNDS {
+            observe(node, commit.service, upstream).await;
+        } else if let Some(mark) = applied(node, upstream).await {
             node.with_group(commit.service, |group| group.note_received(upstream, mark));
             node.received.notify_waiters();
         }
     });
     join_all(asked).await;
 }
-
-/// Asks an upstream for the last position that it has received.
-pub(super) async fn received(node: &Rc<Node>, upstream: &Upstream) -> Option<Mark> {
-    let reply = ask(node, upstream, &[Command::Status]).await?;
-    let status = reply.rows.first().and_then(|it| parse_status(it).ok());
-    // A busy upstream tells at least what it has applied.
-    status.and_then(|status| status.received).or(reply.mark)
-}
-
-/// Asks an upstream for the last position that it has applied.
-async fn applied(node: &Rc<Node>, upstream: &Upstream) -> Option<Mark> {
-    let commands = [Command::Begin(Access::Read, None), Command::Rollback];
-    ask(node, upstream, &commands).await?.mark
-}
-
-/// Runs statements of the VM's own and returns the answer to the first one.
-async fn ask(node: &Rc<Node>, upstream: &Upstream, commands: &[Command<'_>]) -> Option<Reply> {
-    let exchange = async {
-        let mut lease = node.pool(upstream)?.acquire(demand()).await.ok()?;
-        let link = lease.link(node, &Session::default(), None).await.ok()?;
-        let replies = link.run(commands, STATUS_LIMIT).await.ok()?;
-        replies.into_iter().next()
-    };
-    timeout(STATUS_LIMIT, exchange).await.ok()?
-}
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -3,20 +3,19 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Case, Claim, ORDER_LIMIT, Stance, Vote, furthest, stance};
-use chervildrift_core::types::{Role, Service, Time, Upstream, Vm};
+use chervildrift_core::relay::{Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
+use chervildrift_core::types::{Service, Time, Upstream, Vm};
 use chervildrift_platform::promotion::{Error as OrderError, Promotions};
 use chervildrift_platform::store::{Error, Listing, Transaction};
-use futures::future::join_all;
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
 use super::claims::{claim_key, decode, encode, take_claim};
 use super::clock;
-use super::confirm::received;
 use super::node::Node;
 use super::peers;
 use super::presence::{TABLE, live_peers, row};
+use super::succession::Succession;
 
 /// Interval at which the votes are counted.
 const POLL: Duration = Duration::from_millis(150);
@@ -39,6 +38,7 @@
     service: &'a Service,
     leader: Option<&'a Upstream>,
     planned: bool,
+    succession: Succession<'a>,
     started: Time,
     voted: Option<Time>,
     /// When a promotion was last ordered.
@@ -69,6 +69,7 @@
         service,
         leader,
         planned,
+        succession: Succession::open(node, service, leader, planned),
         started: clock::now(),
         voted: None,
         ordered: None,
@@ -91,6 +92,10 @@
             }
         }
     }
+    let kept = node.with_group(service, |group| group.leader() == leader);
+    if kept {
+        replacement.succession.abandon().await;
+    }
 }
 
 impl Replacement<'_> {
@@ -217,13 +222,16 @@
     /// Orders a promotion under a token until it is taken or refused, for as long as the leader has
     /// to be replaced and no other VM may claim the service.
     async fn promote(&mut self, promotions: &Promotions, token: u64, end: Time) {
-        let Some(target) = self.choose().await else {
-            warn!(self.node.log, "no upstream to promote"; "event" => "failover",
-                "service" => %self.service, "token" => token);
-            return;
-        };
         let mut attempt = 0;
+        let mut chosen = None;
         while self.is_due() && clock::now() < end {
+            if chosen.is_none() {
+                chosen = self.succession.settle().await;
+            }
+            let Some(target) = chosen.clone().filter(|_| self.is_due()) else {
+                sleep(PAUSE).await;
+                continue;
+            };
             let vm = &self.node.settings.vm;
             let order = promotions.promote(self.service, &target, vm, token).await;
             info!(self.node.log, "promotion ordered"; "event" => "failover",
@@ -250,25 +258,4 @@
             }
         }
     }
-
-    /// Chooses the replica that has received most of the log.
-    async fn choose(&self) -> Option<Upstream> {
-        let replicas: Vec<Upstream> = {
-            let directory = self.node.directory.borrow();
-            let entries = directory.of(self.service);
-            let usable = entries.filter(|it| {
-                self.leader != Some(&it.upstream) && !it.draining && it.role == Role::Replica
-            });
-            usable.map(|it| it.upstream.clone()).collect()
-        };
-        let asked = replicas.iter().map(|it| async {
-            let mark = received(self.node, it).await?;
-            Some((it.clone(), mark))
-        });
-        let received: Vec<_> = join_all(asked).await.into_iter().flatten().collect();
-        info!(self.node.log, "logs compared"; "event" => "failover", "service" => %self.service,
-            "received" => received.iter().map(|(it, mark)| format!("{it}={mark}"))
-                .collect::<Vec<_>>().join(" "));
-        furthest(&received).cloned()
-    }
 }
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -274,7 +274,8 @@
 
     fn policy(&self, service: &Service) -> chervildrift_core::dispatch::Policy {
         let routes = self.routes.borrow();
-        let limit = routes.connections(service).unwrap_or(DEFAULT_CONNECTIONS);
+        let limit = routes.rules(service).map(|rules| rules.connections);
+        let limit = limit.unwrap_or(DEFAULT_CONNECTIONS);
         policy(&routes, service, links_each(limit, self.vms.get()))
     }
 
--- /dev/null
+++ b/chervildrift/src/relay/replicas.rs
@@ -0,0 +1,94 @@
+//! What upstreams tell of their logs, and the fences that replicas are put behind.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Access, Session};
+use chervildrift_core::types::{Mark, Role, Service, Term, Upstream};
+use chervildrift_platform::wire::{Command, parse_status};
+use slog::{info, warn};
+use tokio::time::timeout;
+
+use super::clock;
+use super::keeper::demand;
+use super::link::Reply;
+use super::node::Node;
+
+/// Time for an upstream to tell its state.
+const STATUS_LIMIT: Duration = Duration::from_millis(500);
+
+/// What an upstream told of itself.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Told {
+    /// Role as it sees itself, unless it was too busy to tell.
+    pub role: Option<Role>,
+    /// Newest term that it knows.
+    pub term: Term,
+    /// Last position that it has received, or applied if it was too busy to tell.
+    pub received: Mark,
+    /// Term below which it receives nothing, or 0.
+    pub fence: Term,
+}
+
+/// Asks an upstream for its state, or changes its fence.
+pub(super) async fn tell(
+    node: &Rc<Node>,
+    upstream: &Upstream,
+    command: Command<'_>,
+) -> Option<Told> {
+    let reply = ask(node, upstream, &[command]).await?;
+    let row = reply.rows.first().and_then(|it| parse_status(it).ok());
+    let received = row.and_then(|row| row.received).or(reply.mark)?;
+    Some(Told {
+        role: row.map(|row| row.role),
+        term: row.map_or(received.term, |row| row.term),
+        received,
+        fence: row.map_or(Term::default(), |row| row.fence),
+    })
+}
+
+/// Takes in what a replica has received and whether a leader of a later term exists; lifts a fence
+/// that was left behind.
+pub(super) async fn observe(node: &Rc<Node>, service: &Service, upstream: &Upstream) {
+    let Some(told) = tell(node, upstream, Command::Status).await else {
+        return;
+    };
+    let fenced = told.fence > Term::default();
+    let forgotten = node.with_group(service, |group| {
+        group.note_received(upstream, told.received);
+        if told.role == Some(Role::Primary) {
+            group.note_term(told.term);
+        }
+        group.note_fence(clock::now(), upstream, fenced)
+    });
+    node.received.notify_waiters();
+    if forgotten {
+        warn!(node.log, "replica left behind a fence"; "event" => "fence",
+            "service" => %service, "upstream" => %upstream, "fence" => %told.fence);
+        unfence(node, service, upstream).await;
+    }
+}
+
+/// Lets a replica receive again.
+pub(super) async fn unfence(node: &Rc<Node>, service: &Service, upstream: &Upstream) {
+    let told = tell(node, upstream, Command::Unfence).await;
+    info!(node.log, "fence lifted"; "event" => "fence", "service" => %service,
+        "upstream" => %upstream, "answered" => told.is_some());
+}
+
+/// Asks an upstream for the last position that it has applied, which costs it nothing.
+pub(super) async fn applied(node: &Rc<Node>, upstream: &Upstream) -> Option<Mark> {
+    let commands = [Command::Begin(Access::Read, None), Command::Rollback];
+    ask(node, upstream, &commands).await?.mark
+}
+
+/// Runs statements of the VM's own and returns the answer to the first one.
+async fn ask(node: &Rc<Node>, upstream: &Upstream, commands: &[Command<'_>]) -> Option<Reply> {
+    let exchange = async {
+        let mut lease = node.pool(upstream)?.acquire(demand()).await.ok()?;
+        let link = lease.link(node, &Session::default(), None).await.ok()?;
+        let replies = link.run(commands, STATUS_LIMIT).await.ok()?;
+        replies.into_iter().next()
+    };
+    timeout(STATUS_LIMIT, exchange).await.ok()?
+}
--- /dev/null
+++ b/chervildrift/src/relay/succession.rs
@@ -0,0 +1,161 @@
+//! Choice of the next leader of a service, and the fence around its promotion.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Replica, quorum, successor};
+use chervildrift_core::types::{Mark, Role, Service, Upstream};
+use chervildrift_platform::wire::Command;
+use futures::future::join_all;
+use slog::{info, warn};
+use tokio::time::sleep;
+
+use super::clock;
+use super::node::Node;
+use super::replicas::{Told, tell, unfence};
+
+/// Looks at the chosen replica until it has received what fenced ones have.
+const CATCH_UPS: u32 = 3;
+
+/// Pause between such looks; a commit takes about the way between regions.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(25);
+
+/// Succession of a leader that is to be replaced.
+pub(super) struct Succession<'a> {
+    node: &'a Rc<Node>,
+    service: &'a Service,
+    leader: Option<&'a Upstream>,
+    planned: bool,
+    /// Replicas that were fenced.
+    fenced: Vec<Upstream>,
+}
+
+/// A replica and what it told.
+type Answer = (Upstream, Told);
+
+impl<'a> Succession<'a> {
+    /// Opens the succession of a leader, if one is known.
+    pub(super) const fn open(
+        node: &'a Rc<Node>,
+        service: &'a Service,
+        leader: Option<&'a Upstream>,
+        planned: bool,
+    ) -> Self {
+        Self {
+            node,
+            service,
+            leader,
+            planned,
+            fenced: Vec::new(),
+        }
+    }
+
+    /// Chooses the next leader and fences the other replicas, so that no commit is acknowledged from
+    /// now on that the next leader lacks; `None` if that can't be made sure of yet.
+    pub(super) async fn settle(&mut self) -> Option<Upstream> {
+        let known = self.replicas();
+        let rules = self.node.routes.borrow().rules(self.service);
+        let sync_replicas = rules.map_or(0, |rules| rules.sync_replicas);
+        let needed = quorum(known.len(), sync_replicas);
+        let told = self.ask(&known, Command::Status).await;
+        info!(self.node.log, "logs compared"; "event" => "failover", "service" => %self.service,
+            "known" => known.len(), "needed" => needed, "received" => list(&told));
+        let newest = told.iter().map(|(_, it)| it.term.max(it.fence)).max()?;
+        let leads = |(_, it): &&Answer| it.role == Some(Role::Primary) && it.term == newest;
+        if let Some((upstream, _)) = told.iter().find(leads) {
+            info!(self.node.log, "another upstream leads already"; "event" => "failover",
+                "service" => %self.service, "upstream" => %upstream, "term" => %newest);
+            return None;
+        }
+        let replicas: Vec<Replica> = told.iter().map(|answer| self.replica(answer)).collect();
+        let chosen = match successor(&replicas, needed, self.planned) {
+            Ok(chosen) => chosen.clone(),
+            Err(obstacle) => {
+                warn!(self.node.log, "no upstream to promote"; "event" => "failover",
+                    "service" => %self.service, "reason" => %obstacle);
+                return None;
+            }
+        };
+        let others: Vec<Upstream> = told
+            .iter()
+            .map(|(upstream, _)| upstream.clone())
+            .filter(|upstream| *upstream != chosen.upstream)
+            .collect();
+        let fence = newest.next();
+        let mut held = self.ask(&others, Command::Fence(fence)).await;
+        held.retain(|(_, it)| it.fence >= fence);
+        self.fenced.extend(held.iter().map(|(it, _)| it.clone()));
+        info!(self.node.log, "replicas fenced"; "event" => "fence", "service" => %self.service,
+            "chosen" => %chosen.upstream, "fence" => %fence, "received" => list(&held));
+        let most = held.iter().map(|(_, it)| it.received).max();
+        let complete = self.catch_up(&chosen, most).await;
+        if held.len() + 1 < needed || !complete {
+            warn!(self.node.log, "succession not secured"; "event" => "failover",
+                "service" => %self.service, "upstream" => %chosen.upstream,
+                "fenced" => held.len(), "needed" => needed, "complete" => complete);
+            return None;
+        }
+        Some(chosen.upstream)
+    }
+
+    /// Lets the fenced replicas receive again from a leader that was not replaced.
+    pub(super) async fn abandon(&mut self) {
+        self.fenced.sort();
+        self.fenced.dedup();
+        for upstream in std::mem::take(&mut self.fenced) {
+            unfence(self.node, self.service, &upstream).await;
+        }
+    }
+
+    /// Waits until the chosen replica has received a position; false if it does not.
+    async fn catch_up(&self, chosen: &Replica, most: Option<Mark>) -> bool {
+        let mut received = chosen.received;
+        for _ in 0..CATCH_UPS {
+            if most.is_none_or(|most| received >= most) {
+                return true;
+            }
+            sleep(CATCH_UP_PAUSE).await;
+            let told = tell(self.node, &chosen.upstream, Command::Status).await;
+            received = told.map_or(received, |told| told.received);
+        }
+        most.is_none_or(|most| received >= most)
+    }
+
+    /// Returns all upstreams but the leader.
+    fn replicas(&self) -> Vec<Upstream> {
+        let directory = self.node.directory.borrow();
+        let others = directory
+            .of(self.service)
+            .filter(|it| self.leader != Some(&it.upstream));
+        others.map(|it| it.upstream.clone()).collect()
+    }
+
+    /// Judges what an upstream told.
+    fn replica(&self, (upstream, told): &Answer) -> Replica {
+        let leaves = self.node.directory.borrow().leaves(clock::now(), upstream);
+        Replica {
+            upstream: upstream.clone(),
+            received: told.received,
+            eligible: !leaves && told.role != Some(Role::Primary),
+        }
+    }
+
+    async fn ask(&self, upstreams: &[Upstream], command: Command<'_>) -> Vec<Answer> {
+        let asked = upstreams.iter().map(|upstream| async move {
+            let told = tell(self.node, upstream, command).await?;
+            Some((upstream.clone(), told))
+        });
+        join_all(asked).await.into_iter().flatten().collect()
+    }
+}
+
+/// Lists what upstreams have received, for the log.
+fn list(answers: &[Answer]) -> String {
+    let items = answers.iter().map(|(upstream, told)| {
+        format!(
+            "{upstream}={} t{} f{}",
+            told.received, told.term, told.fence
+        )
+    });
+    items.collect::<Vec<_>>().join(" ")
+}
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -136,7 +136,9 @@
     let fleet = Fleet::spawn(1, &Options::default()).await;
     let mut session = fleet.vms[0].session("own").await;
     assert!(session.run("WRITE x 1").await.is_signed());
-    fleet.platform.database.set_deaf(true);
+    for member in [1, 2] {
+        fleet.platform.database.set_deaf(member, true);
+    }
     assert!(session.run("WRITE x 2").await.is_signed());
     await_true("log line", async || {
         let log = fleet.vms[0].log();
@@ -159,3 +161,51 @@
     assert_eq!(session.run("WRITE x 2").await.code(), "INDOUBT");
     assert_eq!(fleet.platform.database.value("x").as_deref(), Some("2"));
 }
+
+/// Guards against the loss of commits that only a silent replica has received, where the service
+/// acknowledges a commit once one replica has it.
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_witness() {
+    let options = Options {
+        sync_replicas: 1,
+        ..Options::default()
+    };
+    let fleet = Fleet::spawn(1, &options).await;
+    let mut session = fleet.vms[0].session("own").await;
+    fleet.platform.database.set_deaf(1, true);
+    assert!(session.run("WRITE x kept").await.is_signed());
+    for member in [0, 2] {
+        fleet.platform.database.set_dark(member, true);
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    assert_eq!(fleet.platform.database.primary(), Some(0), "too early");
+    fleet.platform.database.set_dark(2, false);
+    await_true("new primary", async || {
+        fleet.platform.database.primary() == Some(2)
+    })
+    .await;
+    assert_eq!(fleet.platform.database.value("x").as_deref(), Some("kept"));
+}
+
+/// Guards against commits that a replica which is not chosen receives during a planned change, and
+/// against replicas that stay fenced after it.
+#[tokio::test(flavor = "multi_thread")]
+async fn fenced_replicas() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    fleet.platform.database.set_draining(0);
+    fleet.platform.register();
+    let mut fenced = Vec::new();
+    let start = Instant::now();
+    while fleet.platform.database.primary() == Some(0) && start.elapsed() < GAP {
+        let now = fleet.platform.database.fenced();
+        if now.len() > fenced.len() {
+            fenced = now;
+        }
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let primary = fleet.platform.database.primary().expect("a primary");
+    assert_eq!(fenced, [3 - primary], "all but the old and the new primary");
+    assert!(fleet.platform.database.fenced().is_empty());
+}
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -1,4 +1,4 @@
-//! Whether a VM may replace the leader of a service, and by which upstream.
+//! Whether a VM may replace the leader of a service.
 //!
 //! Nobody reports a dead leader. A VM that suspects one says so in the platform's store; a majority
 //! of the VMs that run must agree, since a leader may be cut off from some VMs only. Whoever then
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::{Mark, Upstream, Vm};
+use crate::types::{Upstream, Vm};
 
 /// Age from which a vote no longer counts; votes are renewed every second.
 const VOTE_KEPT: Duration = Duration::from_millis(2_500);
@@ -121,10 +121,3 @@
     let first = (case.spread % count as u64) as usize;
     ((own + count - first) % count) as u32
 }
-
-/// Returns the upstream that has received most of the log.
-#[must_use]
-pub fn furthest(received: &[(Upstream, Mark)]) -> Option<&Upstream> {
-    let most = received.iter().max_by_key(|(_, mark)| *mark);
-    most.map(|(upstream, _)| upstream)
-}
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -7,7 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::types::{Mark, Time, Upstream};
+use crate::types::{Mark, Term, Time, Upstream};
 
 /// Time between the samples that are kept.
 const SAMPLE_STEP: Duration = Duration::from_millis(50);
@@ -29,6 +29,12 @@
 /// Time without a leader after which one has to be made; a promotion that is under way takes less.
 const LEADERLESS: Duration = Duration::from_secs(2);
 
+/// Time after which a fence around a promotion that never came is lifted.
+///
+/// A promotion that is under way ends it earlier: orders are given for 3 s, and a leader starts
+/// within some seconds.
+const FENCE_LIMIT: Duration = Duration::from_secs(8);
+
 /// A position of the leader's log and when it was asked for.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
@@ -45,6 +51,17 @@
     pub epoch: u64,
 }
 
+/// What is known of a commit at the replicas.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Confirmation {
+    /// A replica has received it.
+    Received,
+    /// No replica has shown it yet.
+    Missing,
+    /// A leader of a later term exists, whose log may lack it.
+    Superseded,
+}
+
 /// Position that a read needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Floor {
@@ -69,6 +86,10 @@
     lost: Option<Time>,
     /// Last position that each replica was seen to have received.
     received: Vec<(Upstream, Mark)>,
+    /// Newest term of any leader.
+    newest: Term,
+    /// Since when replicas have been seen to be fenced under this leader.
+    fenced: Vec<(Upstream, Time)>,
     /// Upstreams that refused to lead, with the version of their entry then.
     refused: Vec<(Upstream, u64)>,
 }
@@ -101,6 +122,7 @@
         self.epoch += 1;
         self.samples.clear();
         self.received.clear();
+        self.fenced.clear();
         self.led = now;
         self.heard = now;
         self.misses = 0;
@@ -229,6 +251,7 @@
         if self.leader.as_ref() == Some(upstream) {
             return;
         }
+        self.note_term(mark.term);
         match self.received.iter_mut().find(|(name, _)| name == upstream) {
             // A replica that was rolled back by a promotion shows a lower position than before.
             Some((_, known)) => *known = mark,
@@ -236,12 +259,39 @@
         }
     }
 
-    /// Tells whether a replica has received a position.
+    /// Notes the term of a leader, or of a commit under one.
+    pub fn note_term(&mut self, term: Term) {
+        self.newest = self.newest.max(term);
+    }
+
+    /// Notes whether a replica is fenced; true if a promotion that would end it has not come in time.
+    pub fn note_fence(&mut self, now: Time, upstream: &Upstream, fenced: bool) -> bool {
+        if !fenced {
+            self.fenced.retain(|(name, _)| name != upstream);
+            return false;
+        }
+        let known = self.fenced.iter().find(|(name, _)| name == upstream);
+        let Some((_, since)) = known else {
+            self.fenced.push((upstream.clone(), now));
+            return false;
+        };
+        now.since(*since) >= FENCE_LIMIT
+    }
+
+    /// Tells what is known of a commit at the replicas.
+    ///
+    /// Only a position of the same term confirms it: under a later term the same number may be
+    /// another commit.
     #[must_use]
-    pub fn has_received(&self, mark: Mark) -> bool {
-        self.received
-            .iter()
-            .any(|(_, received)| received.covers(mark))
+    pub fn confirmation(&self, commit: Mark) -> Confirmation {
+        if self.newest > commit.term {
+            return Confirmation::Superseded;
+        }
+        let mut received = self.received.iter().map(|(_, mark)| mark);
+        if received.any(|mark| mark.term == commit.term && mark.position >= commit.position) {
+            return Confirmation::Received;
+        }
+        Confirmation::Missing
     }
 
     /// Tags the newest commit of a session.
--- a/chervildrift_core/src/relay/route.rs
+++ b/chervildrift_core/src/relay/route.rs
@@ -38,6 +38,15 @@
     pub target: Duration,
 }
 
+/// What the configuration says of the upstreams of a service.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ServiceRules {
+    /// Connections that one upstream takes from all callers together.
+    pub connections: usize,
+    /// Replicas that have received a commit before the leader acknowledges it.
+    pub sync_replicas: usize,
+}
+
 /// One version of all routes.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Routes {
@@ -45,8 +54,8 @@
     pub version: u64,
     /// Routes.
     pub routes: Vec<Arc<Route>>,
-    /// Connections that one upstream of a service takes from all callers together.
-    pub connections: HashMap<Service, usize>,
+    /// Rules of the services.
+    pub services: HashMap<Service, ServiceRules>,
     /// Time after which an idle transaction may be ended.
     pub idle: Option<Duration>,
 }
@@ -97,13 +106,13 @@
     /// Returns the services that any route leads to.
     #[must_use]
     pub fn services(&self) -> Vec<Service> {
-        self.current.connections.keys().cloned().collect()
+        self.current.services.keys().cloned().collect()
     }
 
-    /// Returns the connections that one upstream of a service takes.
+    /// Returns the rules of a service.
     #[must_use]
-    pub fn connections(&self, service: &Service) -> Option<usize> {
-        self.current.connections.get(service).copied()
+    pub fn rules(&self, service: &Service) -> Option<ServiceRules> {
+        self.current.services.get(service).copied()
     }
 
     /// Returns the time after which an idle transaction may be ended.
--- /dev/null
+++ b/chervildrift_core/src/relay/succession.rs
@@ -0,0 +1,65 @@
+//! Which upstream takes over from a leader so that no acknowledged commit is lost.
+//!
+//! A commit that was acknowledged stands in the logs of as many replicas as the service declares.
+//! So many replicas have to tell their position that one of them must have it, and the furthest of
+//! all takes over. The others are fenced before, so that the old leader can't have a commit
+//! acknowledged by them meanwhile.
+
+use derive_more::Display;
+
+use crate::types::{Mark, Upstream};
+
+/// What an upstream that does not lead has told of its log.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Replica {
+    /// Name of the upstream.
+    pub upstream: Upstream,
+    /// Last position that it has received.
+    pub received: Mark,
+    /// Whether it may lead; one that leaves may not.
+    pub eligible: bool,
+}
+
+/// Why no upstream can take over yet.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Obstacle {
+    /// Too few replicas answer to know all acknowledged commits.
+    #[display("{told} of {needed} replicas answer")]
+    TooFew {
+        /// Replicas that have told their position.
+        told: usize,
+        /// Replicas that have to.
+        needed: usize,
+    },
+    /// No replica that may lead has received everything.
+    #[display("no replica that stays has received everything")]
+    Behind,
+}
+
+/// Returns how many of `known` replicas have to answer, if a commit is acknowledged once
+/// `sync_replicas` of them have received it.
+#[must_use]
+pub const fn quorum(known: usize, sync_replicas: usize) -> usize {
+    if sync_replicas == 0 || known < sync_replicas {
+        return 1;
+    }
+    known - sync_replicas + 1
+}
+
+/// Returns the replica that takes over: the furthest one.
+///
+/// One that leaves takes over only if it alone has the last commits and the old leader is gone.
+pub fn successor(replicas: &[Replica], needed: usize, planned: bool) -> Result<&Replica, Obstacle> {
+    let told = replicas.len();
+    if told < needed {
+        return Err(Obstacle::TooFew { told, needed });
+    }
+    let by_log = |it: &&Replica| (it.received, it.eligible);
+    let furthest = replicas.iter().max_by_key(by_log);
+    let furthest = furthest.ok_or(Obstacle::TooFew { told, needed })?;
+    // A leader that still runs sends the others what they lack.
+    if !furthest.eligible && planned {
+        return Err(Obstacle::Behind);
+    }
+    Ok(furthest)
+}
--- a/chervildrift_core/tests/relay_elections.rs
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -1,10 +1,10 @@
-//! Votes on leaders, claims of services and the choice of the next leader.
+//! Votes on leaders and claims of services.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Case, Claim, Stance, Vote, furthest, stance};
-use chervildrift_core::types::{Mark, Upstream, Vm};
+use chervildrift_core::relay::{Case, Claim, Stance, Vote, stance};
+use chervildrift_core::types::{Upstream, Vm};
 use proptest::prelude::*;
 
 const LONG: Duration = Duration::from_secs(60);
@@ -137,15 +137,6 @@
     assert!(delays.contains(&Duration::ZERO) && !delays.contains(&LONG));
 }
 
-/// Guards against a promotion that loses what another replica has.
-#[test]
-fn most_of_log() {
-    let received = [("a", 1, 9), ("b", 2, 3), ("c", 2, 2)];
-    let received = received.map(|(name, term, it)| (Upstream::from(name), Mark::new(term, it)));
-    assert_eq!(furthest(&received), Some(&Upstream::from("b")));
-    assert_eq!(furthest(&[]), None);
-}
-
 proptest! {
     /// Guards against a fencing token that does not rise, whatever the records say.
     #[test]
--- a/chervildrift_core/tests/relay_freshness.rs
+++ b/chervildrift_core/tests/relay_freshness.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use chervildrift_core::relay::{Floor, Group};
-use chervildrift_core::types::{Mark, Time, Upstream};
+use chervildrift_core::relay::{Confirmation, Floor, Group};
+use chervildrift_core::types::{Mark, Term, Time, Upstream};
 
 const BOUND: Duration = Duration::from_millis(1_500);
 
@@ -120,24 +120,50 @@
     let (mut group, leader) = led();
     let replica = Upstream::from("b");
     group.note_received(&leader, Mark::new(1, 9));
-    assert!(
-        !group.has_received(Mark::new(1, 9)),
-        "the leader's own word"
+    let commit = Mark::new(1, 9);
+    let missing = Confirmation::Missing;
+    assert_eq!(group.confirmation(commit), missing, "the leader's own word");
+    group.note_received(&replica, commit);
+    assert_eq!(group.confirmation(commit), Confirmation::Received);
+    assert_eq!(
+        group.confirmation(Mark::new(2, 9)),
+        missing,
+        "an earlier term"
     );
-    group.note_received(&replica, Mark::new(1, 9));
-    assert!(group.has_received(Mark::new(1, 9)));
-    assert!(!group.has_received(Mark::new(2, 9)), "an earlier term");
     group.note_received(&replica, Mark::new(1, 7));
-    assert!(
-        !group.has_received(Mark::new(1, 9)),
+    assert_eq!(
+        group.confirmation(commit),
+        missing,
         "a log that was rolled back"
     );
-    group.note_received(&replica, Mark::new(1, 9));
+    group.note_received(&replica, commit);
     group.lead(at(10), &replica);
-    assert!(
-        !group.has_received(Mark::new(1, 9)),
-        "an earlier leadership"
-    );
+    assert_eq!(group.confirmation(commit), missing, "an earlier leadership");
+}
+
+/// Guards against a commit that counts as received on the word of a replica which follows a later
+/// leader, whose log may hold another commit under that number.
+#[test]
+fn superseded_commits() {
+    let (mut group, _) = led();
+    group.note_received(&Upstream::from("b"), Mark::new(2, 12));
+    let commit = Mark::new(1, 9);
+    assert_eq!(group.confirmation(commit), Confirmation::Superseded);
+    let (mut group, _) = led();
+    group.note_term(Term(2));
+    assert_eq!(group.confirmation(commit), Confirmation::Superseded);
+}
+
+/// Guards against a replica that receives nothing for good because the VM that fenced it has gone.
+#[test]
+fn forgotten_fence() {
+    let (mut group, _) = led();
+    let replica = Upstream::from("b");
+    assert!(!group.note_fence(at(0), &replica, true));
+    assert!(!group.note_fence(at(7_900), &replica, true));
+    assert!(group.note_fence(at(8_000), &replica, true));
+    assert!(!group.note_fence(at(8_100), &replica, false));
+    assert!(!group.note_fence(at(8_200), &replica, true));
 }
 
 /// Guards against a refusal that an upstream sent before it became leader and that arrives later.
--- /dev/null
+++ b/chervildrift_core/tests/relay_succession.rs
@@ -0,0 +1,73 @@
+//! Choice of the next leader by the logs of the replicas.
+
+use chervildrift_core::relay::{Obstacle, Replica, quorum, successor};
+use chervildrift_core::types::{Mark, Upstream};
+use proptest::prelude::*;
+
+fn replica(name: &str, term: u64, position: u64, eligible: bool) -> Replica {
+    Replica {
+        upstream: Upstream::from(name),
+        received: Mark::new(term, position),
+        eligible,
+    }
+}
+
+/// Guards against a promotion that loses what another replica has.
+#[test]
+fn most_of_log() {
+    let told = [
+        replica("a", 1, 9, true),
+        replica("b", 2, 3, true),
+        replica("c", 2, 2, true),
+    ];
+    assert_eq!(successor(&told, 1, false), Ok(&told[1]));
+    let none = Obstacle::TooFew { told: 0, needed: 1 };
+    assert_eq!(successor(&[], 1, false), Err(none));
+}
+
+/// Guards against a promotion while the only replica with a commit may be one that is silent.
+#[test]
+fn silent_replicas() {
+    assert_eq!([quorum(2, 0), quorum(2, 1), quorum(2, 2)], [1, 2, 1]);
+    assert_eq!([quorum(0, 1), quorum(1, 1), quorum(4, 1)], [1, 1, 4]);
+    let told = [replica("a", 1, 9, true)];
+    let obstacle = Obstacle::TooFew { told: 1, needed: 2 };
+    assert_eq!(successor(&told, 2, false), Err(obstacle));
+}
+
+/// Guards against a replica that leaves as the next leader, and against the loss of commits that it
+/// alone has.
+#[test]
+fn leaving_replica() {
+    let even = [replica("a", 1, 9, false), replica("b", 1, 9, true)];
+    assert_eq!(successor(&even, 1, false), Ok(&even[1]));
+    let ahead = [replica("a", 1, 9, false), replica("b", 1, 8, true)];
+    assert_eq!(successor(&ahead, 1, false), Ok(&ahead[0]));
+    assert_eq!(successor(&ahead, 1, true), Err(Obstacle::Behind));
+}
+
+proptest! {
+    /// Guards against any choice that lacks a commit which enough replicas have received.
+    #[test]
+    fn acknowledged_commits(
+        logs in prop::collection::vec(0_u64..20, 1..6),
+        silent in prop::collection::vec(any::<bool>(), 6),
+        sync in 1_usize..4,
+    ) {
+        let known = logs.len();
+        let acknowledged = (0_u64..20).rev().find(|commit| {
+            logs.iter().filter(|log| *log >= commit).count() >= sync
+        });
+        let told: Vec<Replica> = logs
+            .iter()
+            .zip(&silent)
+            .filter(|(_, silent)| !**silent)
+            .map(|(log, _)| replica("r", 1, *log, true))
+            .collect();
+        if let Ok(chosen) = successor(&told, quorum(known, sync), false)
+            && let Some(commit) = acknowledged
+        {
+            prop_assert!(chosen.received.position.0 >= commit);
+        }
+    }
+}
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -35,13 +35,30 @@
     pub inside: bool,
 }
 
+/// What is wrong with a database.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fault {
+    None,
+    /// No commits arrive.
+    Deaf,
+    /// Connections hang and answers stay away.
+    Dark,
+}
+
+impl Fault {
+    const fn when(self, on: bool) -> Self {
+        if on { self } else { Self::None }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Member {
     address: SocketAddr,
     primary: bool,
     draining: bool,
-    /// Whether connections hang and answers stay away.
-    dark: bool,
+    fault: Fault,
+    /// Term below which no commits are received, or 0.
+    fence: u64,
     log: Vec<Entry>,
     applied: usize,
     connections: usize,
@@ -53,7 +70,6 @@
     term: u64,
     token: u64,
     lag: Duration,
-    deaf: bool,
     lost_answers: u32,
     runs: Vec<Run>,
     next: u64,
@@ -67,6 +83,7 @@
 pub struct Database {
     state: Mutex<State>,
     limit: usize,
+    sync_replicas: usize,
     /// Wakes connections that are to be closed.
     pub(super) closing: Notify,
 }
@@ -77,20 +94,21 @@
             address: SocketAddr::from(([127, 0, 0, 1], 0)),
             primary: index == 0,
             draining: false,
-            dark: false,
+            fault: Fault::None,
+            fence: 0,
             log: Vec::new(),
             applied: 0,
             connections: 0,
         };
         Self {
             limit: options.connections,
+            sync_replicas: options.sync_replicas,
             closing: Notify::new(),
             state: Mutex::new(State {
                 members: (0..options.databases).map(member).collect(),
                 term: 1,
                 token: 0,
                 lag: options.lag,
-                deaf: false,
                 lost_answers: 0,
                 runs: Vec::new(),
                 next: 0,
@@ -128,14 +146,38 @@
         self.lock().lag = lag;
     }
 
-    /// Sets whether replicas receive no commits.
-    pub fn set_deaf(&self, deaf: bool) {
-        self.lock().deaf = deaf;
+    /// Sets whether a replica receives no commits.
+    pub fn set_deaf(&self, member: usize, deaf: bool) {
+        self.lock().members[member].fault = Fault::Deaf.when(deaf);
+    }
+
+    /// Returns the databases that are fenced.
+    pub fn fenced(&self) -> Vec<usize> {
+        let state = self.lock();
+        let fenced = state.members.iter().enumerate();
+        let fenced = fenced.filter(|(_, member)| member.fence > 0);
+        fenced.map(|(index, _)| index).collect()
+    }
+
+    pub(super) const fn sync_replicas(&self) -> usize {
+        self.sync_replicas
+    }
+
+    /// Sets the term below which a replica receives nothing, or lifts it by 0; returns the newest
+    /// term and the fence.
+    pub(super) fn fence(&self, member: usize, term: Option<u64>) -> (u64, u64) {
+        let mut state = self.lock();
+        let newest = state.term;
+        let member = &mut state.members[member];
+        if let Some(term) = term.filter(|term| *term > newest || *term == 0) {
+            member.fence = term;
+        }
+        (newest, member.fence)
     }
 
     /// Sets whether a database stays silent.
     pub fn set_dark(&self, member: usize, dark: bool) {
-        self.lock().members[member].dark = dark;
+        self.lock().members[member].fault = Fault::Dark.when(dark);
     }
 
     /// Sets whether a database is about to leave.
@@ -171,6 +213,7 @@
         let log = state.members[target].log.clone();
         for (index, member) in state.members.iter_mut().enumerate() {
             member.primary = index == target;
+            member.fence = 0;
             let common = member.log.len().min(log.len());
             member.log.truncate(common);
             member.applied = member.applied.min(common);
@@ -180,8 +223,8 @@
 
     pub(super) fn may_promote(&self, id: &str, token: u64) -> bool {
         let mut state = self.lock();
-        let running =
-            (0..state.members.len()).any(|it| Self::id(it) == id && !state.members[it].dark);
+        let running = (0..state.members.len())
+            .any(|it| Self::id(it) == id && state.members[it].fault != Fault::Dark);
         if token < state.token || !running {
             return false;
         }
@@ -225,7 +268,7 @@
     }
 
     pub(super) fn is_dark(&self, member: usize) -> bool {
-        self.lock().members[member].dark
+        self.lock().members[member].fault == Fault::Dark
     }
 
     pub(super) fn leads(&self, member: usize) -> bool {
@@ -282,14 +325,18 @@
             number,
             writes,
         };
-        let (deaf, lag) = (state.deaf, state.lag);
+        let lag = state.lag;
+        let mut received = 0;
         for (index, it) in state.members.iter_mut().enumerate() {
-            if index == member || !deaf && it.log.len() as u64 + 1 == number {
+            let reached = it.fault == Fault::None && it.fence == 0;
+            if index == member || reached && it.log.len() as u64 + 1 == number {
                 it.log.push(entry.clone());
+                received += usize::from(index != member);
             }
         }
         state.members[member].applied = state.members[member].log.len();
-        let lost = state.lost_answers > 0;
+        // A commit that too few replicas have received stays without an answer.
+        let lost = state.lost_answers > 0 || received < self.sync_replicas;
         state.lost_answers = state.lost_answers.saturating_sub(1);
         drop(state);
         let database = Arc::clone(self);
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -33,6 +33,8 @@
     pub lag: Duration,
     /// Connections that a database takes at a time.
     pub connections: usize,
+    /// Replicas that must have received a commit before it is acknowledged.
+    pub sync_replicas: usize,
 }
 
 impl Default for Options {
@@ -41,6 +43,7 @@
             databases: 3,
             lag: Duration::from_millis(20),
             connections: 30,
+            sync_replicas: 0,
         }
     }
 }
@@ -125,7 +128,8 @@
             .collect();
         let config = serde_json::json!({
             "version": version, "routes": routes,
-            "services": [{"name": SERVICE, "connection_limit": 30, "sync_replicas": 0}],
+            "services": [{"name": SERVICE, "connection_limit": 30,
+                "sync_replicas": self.database.sync_replicas()}],
             "limits": {"transaction_idle_ms": 3_000},
         });
         self.store
--- a/chervildrift_standin/src/deployment/session.rs
+++ b/chervildrift_standin/src/deployment/session.rs
@@ -164,15 +164,9 @@
                 self.prepared.insert((*name).to_owned(), prepared);
                 Outcome::Rows(Vec::new())
             }
-            ("STATUS", []) => {
-                let role = if self.database.leads(self.member) {
-                    "primary"
-                } else {
-                    "replica"
-                };
-                let (term, number) = self.database.received(self.member);
-                Outcome::Rows(vec![format!("{role} {term} {term}.{number} 0 0 0 1")])
-            }
+            ("PAUSE", [term]) => self.status(term.parse().ok()),
+            ("RESUME", []) => self.status(Some(0)),
+            ("STATUS", []) => self.status(None),
             ("EXECUTE", [name, rest @ ..]) => {
                 let Some((write, shape)) = self.prepared.get(*name).cloned() else {
                     return Outcome::Failure("UNKNOWN");
@@ -194,6 +188,19 @@
         }
     }
 
+    /// Tells the state, after a change of the fence if one is given.
+    fn status(&self, fence: Option<u64>) -> Outcome {
+        let role = if self.database.leads(self.member) {
+            "primary"
+        } else {
+            "replica"
+        };
+        let (newest, fence) = self.database.fence(self.member, fence);
+        let (term, number) = self.database.received(self.member);
+        let row = format!("{role} {newest} {term}.{number} {fence} 0 0 1");
+        Outcome::Rows(vec![row])
+    }
+
     fn begin(&mut self, plain: bool) -> Outcome {
         if plain && !self.database.leads(self.member) {
             return Outcome::Failure("READONLY");
