Take the bounds on leaving upstreams and on configurations from the settings

Cause: the time after which a leaving upstream gets no more work (5.5 s) and the longest feed (4 s) were figures of the two known installations; one with a shorter drain bound would be served too long. Change: settings drain_ms and apply_ms, filled in from the platform's bounds; the last 1.5 s of the drain bound, or half of it, are left for statements that wait. Test: relay_state short_drain (bounds of 1 to 14 s), operator_commands.

--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -5,8 +5,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use chervildrift_core::config::RelaySettings;
+use chervildrift_core::relay::Directory;
 use chervildrift_platform::promotion::Promotions;
 use chervildrift_platform::store::{Limits, Store};
 use slog::{Logger, info, warn};
@@ -72,6 +74,7 @@
     ready: &Arc<AtomicBool>,
 ) -> Result<Node, Error> {
     let promotions = settings.promotions.map(Promotions::open).transpose()?;
+    let drain = Duration::from_secs_f64(settings.drain_ms / 1_000.0);
     Ok(Node {
         boot: wall::clock_ms(),
         metrics,
@@ -79,7 +82,7 @@
         promotions,
         log,
         settings,
-        directory: RefCell::default(),
+        directory: RefCell::new(Directory::open(drain)),
         routes: RefCell::default(),
         groups: RefCell::default(),
         pools: RefCell::default(),
--- a/chervildrift/src/relay/watch.rs
+++ b/chervildrift/src/relay/watch.rs
@@ -15,12 +15,6 @@
 use super::clock;
 use super::node::Node;
 
-/// Longest wait for changes in one call.
-///
-/// A call that the store has lost is noticed a second after it, which leaves time to apply a
-/// configuration within its bound.
-const FEED_WAIT: Duration = Duration::from_secs(4);
-
 /// Shortest pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -81,7 +75,9 @@
         *at = Some(listing.version);
         return Ok(());
     };
-    match node.store.feed(table, after, FEED_WAIT).await? {
+    // A call that the store has lost is noticed about when the next configuration must be in force.
+    let wait = Duration::from_secs_f64(node.settings.apply_ms / 1_000.0);
+    match node.store.feed(table, after, wait).await? {
         Feed::Changes(changes) => {
             for row in changes.rows {
                 change(node, row);
--- a/chervildrift/tests/operator_commands.rs
+++ b/chervildrift/tests/operator_commands.rs
@@ -89,6 +89,11 @@
             "hold_ms: 90000\n",
             Some("hold_ms is 90000; give a number of at most 60000"),
         ),
+        (
+            "drain_ms: 100\n",
+            Some("drain_ms is 100; give a number from 500 to 600000"),
+        ),
+        ("drain_ms: 3500.5\napply_ms: 2000\n", None),
         ("hold: 4\n", Some("unknown field")),
     ] {
         std::fs::write(&path, good.to_owned() + more).expect("writes the file");
--- a/chervildrift_core/src/config/check.rs
+++ b/chervildrift_core/src/config/check.rs
@@ -25,6 +25,12 @@
 /// Longest grace period of a relaying VM, in seconds.
 const MAX_GRACE_S: f64 = 600.0;
 
+/// Shortest bound of a relaying VM, in milliseconds; several ways between regions.
+const MIN_BOUND_MS: f64 = 500.0;
+
+/// Longest bound of a relaying VM, in milliseconds.
+const MAX_BOUND_MS: f64 = 600_000.0;
+
 /// Longest time for which a relaying VM holds a request, in milliseconds.
 const MAX_HOLD_MS: u64 = 60_000;
 
@@ -92,6 +98,17 @@
             format!("give a number from {MIN_GRACE_S} to {MAX_GRACE_S}"),
         ));
     }
+    for (name, value) in [
+        ("drain_ms", settings.drain_ms),
+        ("apply_ms", settings.apply_ms),
+    ] {
+        if !(MIN_BOUND_MS..=MAX_BOUND_MS).contains(&value) {
+            findings.push(finding(
+                format!("{name} is {value}"),
+                format!("give a number from {MIN_BOUND_MS} to {MAX_BOUND_MS}"),
+            ));
+        }
+    }
     for (name, value) in [
         ("hold_ms", settings.hold_ms),
         ("confirm_ms", settings.confirm_ms),
--- a/chervildrift_core/src/config/relay.rs
+++ b/chervildrift_core/src/config/relay.rs
@@ -36,6 +36,12 @@
     /// Time between a signal to stop and the end of the process, in seconds.
     #[serde(default = "RelaySettings::grace_s")]
     pub grace_s: f64,
+    /// Time after which an upstream that leaves must get no more work, in milliseconds.
+    #[serde(default = "RelaySettings::drain_ms")]
+    pub drain_ms: f64,
+    /// Time in which a published configuration must be in force, in milliseconds.
+    #[serde(default = "RelaySettings::apply_ms")]
+    pub apply_ms: f64,
     /// Longest time that a request is held for a leader, in milliseconds.
     #[serde(default = "RelaySettings::hold_ms")]
     pub hold_ms: u64,
@@ -53,6 +59,16 @@
         6.0
     }
 
+    /// The bound of the platform on which the program first ran.
+    const fn drain_ms() -> f64 {
+        7_000.0
+    }
+
+    /// The bound of the platform on which the program first ran.
+    const fn apply_ms() -> f64 {
+        4_000.0
+    }
+
     /// Covers several ways between regions and the wait for a slot.
     const fn confirm_ms() -> u64 {
         300
--- a/chervildrift_core/src/relay/directory.rs
+++ b/chervildrift_core/src/relay/directory.rs
@@ -8,10 +8,8 @@
 
 use crate::types::{Role, Service, Time, Upstream, Zone};
 
-/// Time for which an upstream is kept after its entry has gone.
-///
-/// It lies below the time in which an upstream that has gone must get no more work, and leaves room
-/// to replace one that leads.
+/// Longest time for which an upstream is kept after its entry has gone, which leaves room to replace
+/// one that leads.
 const LAPSE_GRACE: Duration = Duration::from_millis(4_500);
 
 /// Time after which an upstream whose entry has gone counts as leaving.
@@ -20,10 +18,9 @@
 /// return.
 const LAPSE_LEAVING: Duration = Duration::from_millis(2_200);
 
-/// Time after which an upstream that drains gets no more work.
-///
-/// Users are promised seven seconds; a statement may wait for its turn for a part of that.
-const DRAIN_LIMIT: Duration = Duration::from_millis(5_500);
+/// Part of the time in which an upstream that leaves must get no more work that is left for
+/// statements which wait for their turn there.
+const TURN_RESERVE: Duration = Duration::from_millis(1_500);
 
 /// An upstream as the platform lists it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -49,8 +46,10 @@
 }
 
 /// Upstreams that the platform lists.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Directory {
+    /// Time for which an upstream that leaves gets work.
+    open: Duration,
     entries: HashMap<Upstream, Entry>,
     lapsed: HashMap<Upstream, Time>,
     /// When each draining upstream was first seen to drain.
@@ -58,6 +57,17 @@
 }
 
 impl Directory {
+    /// Opens an empty directory; an upstream that leaves must get no more work after `drain`.
+    #[must_use]
+    pub fn open(drain: Duration) -> Self {
+        Self {
+            open: drain.saturating_sub(TURN_RESERVE).max(drain / 2),
+            entries: HashMap::new(),
+            lapsed: HashMap::new(),
+            draining: HashMap::new(),
+        }
+    }
+
     /// Takes in a new or changed entry.
     pub fn put(&mut self, now: Time, entry: Entry) {
         if entry.draining {
@@ -93,7 +103,8 @@
 
     /// Drops the upstreams whose grace period is over, and returns them.
     pub fn expire(&mut self, now: Time) -> Vec<Upstream> {
-        let over = |at: &Time| now.since(*at) >= LAPSE_GRACE;
+        let grace = LAPSE_GRACE.min(self.open);
+        let over = |at: &Time| now.since(*at) >= grace;
         let gone: Vec<Upstream> = self
             .lapsed
             .iter()
@@ -119,7 +130,7 @@
     #[must_use]
     pub fn is_closed(&self, now: Time, upstream: &Upstream) -> bool {
         let since = self.draining.get(upstream).or(self.lapsed.get(upstream));
-        since.is_some_and(|at| now.since(*at) >= DRAIN_LIMIT)
+        since.is_some_and(|at| now.since(*at) >= self.open)
     }
 
     /// Returns the entry of an upstream.
--- a/chervildrift_core/tests/relay_state.rs
+++ b/chervildrift_core/tests/relay_state.rs
@@ -29,6 +29,9 @@
     }
 }
 
+/// Time after which an upstream that leaves must get no more work.
+const DRAIN: Duration = Duration::from_secs(7);
+
 fn routes(version: u64, databases: &[&str]) -> Routes {
     let route = |database: &&str| {
         Arc::new(Route {
@@ -52,7 +55,7 @@
 /// against those that are kept for too long.
 #[test]
 fn lapsed_entries() {
-    let (mut directory, name) = (Directory::default(), Upstream::from("a"));
+    let (mut directory, name) = (Directory::open(DRAIN), Upstream::from("a"));
     directory.put(at(0), entry("a", Role::Primary, 1));
     directory.lapse(at(0), &name);
     assert!(!directory.leaves(at(2_000), &name) && directory.leaves(at(2_200), &name));
@@ -67,7 +70,7 @@
 /// Guards against a leader that leaves and gets work until it is replaced, however late that is.
 #[test]
 fn closed_upstream() {
-    let (mut directory, name) = (Directory::default(), Upstream::from("a"));
+    let (mut directory, name) = (Directory::open(DRAIN), Upstream::from("a"));
     for ms in [1_000, 3_000] {
         let mut leaving = entry("a", Role::Primary, ms);
         leaving.draining = true;
@@ -77,10 +80,26 @@
     assert!(directory.is_closed(at(6_500), &name));
 }
 
+/// Guards against work for a leaving upstream on platforms that allow less time for it.
+#[test]
+fn short_drain() {
+    for drain_ms in [1_000, 2_500, 3_500, 5_000, 14_000] {
+        let (mut directory, name) = (
+            Directory::open(Duration::from_millis(drain_ms)),
+            Upstream::from("a"),
+        );
+        directory.put(at(0), entry("a", Role::Primary, 1));
+        directory.lapse(at(0), &name);
+        assert!(!directory.is_closed(at(drain_ms / 2 - 1), &name));
+        assert!(directory.is_closed(at(drain_ms - drain_ms.min(3_000) / 2), &name));
+        assert_eq!(directory.expire(at(drain_ms)), [name], "kept for too long");
+    }
+}
+
 /// Guards against an outdated report of a primary.
 #[test]
 fn newest_report() {
-    let (mut directory, service) = (Directory::default(), Service::from("ledger"));
+    let (mut directory, service) = (Directory::open(DRAIN), Service::from("ledger"));
     directory.put(at(0), entry("a", Role::Primary, 3));
     directory.put(at(0), entry("b", Role::Primary, 7));
     directory.put(at(0), entry("c", Role::Replica, 9));
