Bound the log lines that requests cause, and check the events on the on-call page

Cause: lines on tries and failures grew with the load; only a full queue ended them, which drops lines on what the VM believes as well. Change: a quota for each event on requests, with the number of dropped lines in the next one and in a metric.

--- a/chervildrift/src/relay/confirm.rs
+++ b/chervildrift/src/relay/confirm.rs
@@ -16,6 +16,7 @@
 
 use super::answer::Failure;
 use super::clock;
+use super::lines::RequestEvent;
 use super::node::Node;
 use super::replicas::{applied, observe};
 
@@ -58,9 +59,13 @@
     }
     if confirmation == Confirmation::Missing {
         node.metrics.unconfirmed.inc();
-        warn!(node.log, "commit acknowledged by the primary alone"; "event" => "unconfirmed",
-            "request" => commit.id, "service" => %commit.service, "upstream" => %commit.leader,
-            "mark" => %commit.mark, "waited_ms" => clock::now().since(asked).as_millis() as u64);
+        if let Some(dropped) = node.line(RequestEvent::Unconfirmed) {
+            warn!(node.log, "commit acknowledged by the primary alone"; "event" => "unconfirmed",
+                "request" => commit.id, "service" => %commit.service,
+                "upstream" => %commit.leader, "mark" => %commit.mark,
+                "waited_ms" => clock::now().since(asked).as_millis() as u64,
+                "dropped" => dropped);
+        }
     }
     Ok(())
 }
--- a/chervildrift/src/relay/metrics.rs
+++ b/chervildrift/src/relay/metrics.rs
@@ -10,6 +10,7 @@
 };
 
 use super::clock;
+use super::lines::RequestEvent;
 use super::node::Node;
 
 /// Bounds of the latency histogram, in seconds.
@@ -33,6 +34,7 @@
     pub feeds: IntCounterVec,
     /// Connections that were opened through another VM, by upstream.
     pub detours: IntCounterVec,
+    dropped: IntCounterVec,
     version: IntGauge,
     sessions: IntGauge,
     vms: IntGauge,
@@ -95,6 +97,11 @@
                 &["table", "result"],
             )?,
             detours: counters("detours_total", "Connections through peers", &["upstream"])?,
+            dropped: counters(
+                "dropped_lines_total",
+                "Log lines dropped by their quota",
+                &["event"],
+            )?,
             version: gauge(
                 "configuration_version",
                 "Version of the configuration in force",
@@ -116,6 +123,12 @@
         latency.observe(took.as_secs_f64());
     }
 
+    /// Counts a log line that was dropped.
+    pub(super) fn dropped_line(&self, event: RequestEvent) {
+        let dropped = self.dropped.with_label_values(&[&event.to_string()]);
+        dropped.inc();
+    }
+
     /// Counts a further try.
     pub(super) fn retried(&self, kind: &Kind, reason: &str) {
         self.tries.with_label_values(&[kind.as_str(), reason]).inc();
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -11,6 +11,7 @@
 mod error;
 mod failover;
 mod keeper;
+mod lines;
 mod link;
 mod listener;
 mod metrics;
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -20,6 +20,7 @@
 
 use super::answer::Failure;
 use super::clock;
+use super::lines::{Lines, RequestEvent};
 use super::metrics::Metrics;
 use super::pool::Pool;
 use super::stop::Stage;
@@ -43,6 +44,8 @@
     /// Start of the process, in milliseconds of the Unix epoch.
     pub boot: u64,
     pub log: Logger,
+    /// Quotas of the lines that requests cause.
+    pub lines: Lines,
     pub metrics: Metrics,
     pub store: Store,
     pub promotions: Option<Promotions>,
@@ -201,6 +204,16 @@
         }
     }
 
+    /// Takes a log line on a request out of its quota; returns how many lines were dropped since the
+    /// last one, or `None` if this one is too.
+    pub(super) fn line(&self, event: RequestEvent) -> Option<u64> {
+        let taken = self.lines.take(event);
+        if taken.is_none() {
+            self.metrics.dropped_line(event);
+        }
+        taken
+    }
+
     /// Runs a function on a group.
     pub(super) fn with_group<T>(&self, service: &Service, run: impl FnOnce(&mut Group) -> T) -> T {
         run(self.groups.borrow_mut().entry(service.clone()).or_default())
--- a/chervildrift/src/relay/session.rs
+++ b/chervildrift/src/relay/session.rs
@@ -16,6 +16,7 @@
 
 use super::answer::{Answer, Failure};
 use super::clock;
+use super::lines::RequestEvent;
 use super::node::Node;
 use super::single::{self, Single};
 use super::stop::Stage;
@@ -118,8 +119,11 @@
             } else {
                 Code::NoDatabase
             };
-            info!(self.node.log, "session refused"; "event" => "session", "code" => %code,
-                "database" => &*self.database, "version" => self.node.routes.borrow().version());
+            if let Some(dropped) = self.node.line(RequestEvent::Session) {
+                info!(self.node.log, "session refused"; "event" => "session", "code" => %code,
+                    "database" => &*self.database, "dropped" => dropped,
+                    "version" => self.node.routes.borrow().version());
+            }
             self.close(code, "no route").await?;
             return Ok(false);
         }
@@ -185,10 +189,12 @@
             let took = clock::now().since(asked);
             self.node.metrics.answered(&route.kind, code, took);
         }
-        if let Answer::Failed(failure) = &answer {
+        if let Answer::Failed(failure) = &answer
+            && let Some(dropped) = self.node.line(RequestEvent::Failure)
+        {
             info!(self.node.log, "statement failed"; "event" => "failure", "request" => id,
                 "caller" => %self.caller, "database" => &*self.database, "code" => %failure.code,
-                "detail" => &failure.detail);
+                "detail" => &failure.detail, "dropped" => dropped);
         }
         self.send(Some(&answer)).await?;
         Ok(code != Some(Code::NoDatabase))
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Notify, watch};
 use tokio::task::{LocalSet, spawn_local};
 
+use super::lines::Lines;
 use super::metrics::Metrics;
 use super::node::Node;
 use super::stop::{self, Stage};
@@ -81,6 +82,7 @@
         store: Store::open(settings.store, Limits::default())?,
         promotions,
         log,
+        lines: Lines::open(),
         settings,
         directory: RefCell::new(Directory::open(drain)),
         routes: RefCell::default(),
--- a/chervildrift/src/relay/turn.rs
+++ b/chervildrift/src/relay/turn.rs
@@ -13,6 +13,7 @@
 
 use super::answer::Failure;
 use super::clock;
+use super::lines::RequestEvent;
 use super::link::{Link, LinkError};
 use super::node::Node;
 use super::pool::{Demand, Lease};
@@ -281,9 +282,11 @@
         self.node
             .metrics
             .retried(&self.route.kind, &code.to_string());
-        info!(self.node.log, "refused by an upstream"; "event" => "try", "request" => self.id,
-            "upstream" => %target.upstream, "place" => target.place(), "tries" => self.tries,
-            "code" => %code, "elapsed_ms" => self.elapsed_ms());
+        if let Some(dropped) = self.node.line(RequestEvent::Try) {
+            info!(self.node.log, "refused by an upstream"; "event" => "try", "request" => self.id,
+                "upstream" => %target.upstream, "place" => target.place(), "tries" => self.tries,
+                "code" => %code, "elapsed_ms" => self.elapsed_ms(), "dropped" => dropped);
+        }
         let pool = self.node.pool(&target.upstream);
         match code {
             Code::ReadOnly => self
@@ -336,9 +339,11 @@
         self.node
             .with_group(&self.route.service, |group| group.miss(&target.upstream));
         self.node.metrics.retried(&self.route.kind, "no_answer");
-        info!(self.node.log, "no answer"; "event" => "try", "request" => self.id,
-            "upstream" => %target.upstream, "place" => target.place(), "tries" => self.tries,
-            "error" => %err, "elapsed_ms" => self.elapsed_ms());
+        if let Some(dropped) = self.node.line(RequestEvent::Try) {
+            info!(self.node.log, "no answer"; "event" => "try", "request" => self.id,
+                "upstream" => %target.upstream, "place" => target.place(), "tries" => self.tries,
+                "error" => %err, "elapsed_ms" => self.elapsed_ms(), "dropped" => dropped);
+        }
         self.avoided.push(target.upstream.clone());
         if let Some(pool) = self.node.pool(&target.upstream) {
             pool.failed.set(Some(clock::now()));
--- a/chervildrift/tests/relay_records.rs
+++ b/chervildrift/tests/relay_records.rs
@@ -2,6 +2,11 @@
 
 mod relayed;
 
+use std::io::Read;
+use std::path::Path;
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+
 use chervildrift_standin::deployment::Options;
 
 use relayed::{Fleet, await_true, id};
@@ -63,3 +68,61 @@
         (&"i-0".into(), &"leader".into())
     );
 }
+
+/// Guards against requests that wait for a reader of the log that has stopped, and against lines
+/// that are dropped without a count.
+#[tokio::test(flavor = "multi_thread")]
+async fn stalled_reader() {
+    let mut fleet = Fleet::spawn(0, &Options::default()).await;
+    fleet.add_with("", Stdio::piped());
+    let vm = &mut fleet.vms[0];
+    vm.await_ready(true).await;
+    let mut session = vm.session("own").await;
+    let start = Instant::now();
+    for _ in 0..3_000 {
+        assert_eq!(session.run("EXECUTE none x").await.code(), "UNKNOWN");
+    }
+    assert!(session.run("WRITE x 1").await.is_signed());
+    // A pipe holds some hundred of the lines, so a writer that waits would never get here.
+    assert!(start.elapsed() < Duration::from_secs(10));
+    let url = format!("http://{}/metrics", vm.operators);
+    let text = reqwest::get(&url).await.expect("metrics").text().await;
+    let text = text.expect("a text");
+    let dropped = "chervildrift_relay_dropped_lines_total{event=\"failure\"}";
+    assert!(text.contains(dropped), "{text}");
+    vm.signal("KILL");
+    let mut written = String::new();
+    let mut output = vm.take_output().expect("a pipe");
+    output.read_to_string(&mut written).expect("lines");
+    let failures = written.matches("\"event\":\"failure\"").count();
+    assert!(failures < 2_000, "{failures} lines for 3000 failures");
+}
+
+/// Guards against events that the page for on-call work does not explain, and against explained ones
+/// that no code writes.
+#[test]
+fn explained_events() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let mut written = std::collections::BTreeSet::new();
+    for file in std::fs::read_dir(root.join("src/relay")).expect("sources") {
+        let text = std::fs::read_to_string(file.expect("a file").path()).expect("a source");
+        for rest in text.split("\"event\" => \"").skip(1) {
+            written.insert(rest.split('"').next().unwrap_or_default().to_owned());
+        }
+    }
+    assert!(written.len() > 15, "{written:?}");
+    let page = std::fs::read_to_string(root.join("../docs/OPERATIONS.md")).expect("a page");
+    let table = page.split("## Events").nth(1).expect("a section");
+    let table = table
+        .split("\n\n")
+        .find(|part| part.starts_with("| `event`"));
+    let rows = table.expect("a table").lines().skip(2);
+    let explained: std::collections::BTreeSet<String> = rows
+        .flat_map(|row| {
+            let names = row.split('|').nth(1).unwrap_or_default();
+            let names = names.split('`').skip(1).step_by(2);
+            names.map(str::to_owned).collect::<Vec<_>>()
+        })
+        .collect();
+    assert_eq!(written, explained);
+}
--- a/chervildrift/tests/relayed/mod.rs
+++ b/chervildrift/tests/relayed/mod.rs
@@ -4,7 +4,7 @@
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
@@ -77,6 +77,11 @@
 
     /// Starts one more VM.
     pub fn add(&mut self, more: &str) -> &Vm {
+        self.add_with(more, None)
+    }
+
+    /// Starts one more VM whose log goes to an own place instead of a file.
+    pub fn add_with(&mut self, more: &str, output: impl Into<Option<Stdio>>) -> &Vm {
         static COUNT: AtomicU8 = AtomicU8::new(1);
         let number = COUNT.fetch_add(1, Ordering::Relaxed);
         let [.., high, low] = std::process::id().to_be_bytes();
@@ -95,10 +100,12 @@
             self.store, self.platform.address
         );
         std::fs::write(&settings, text).expect("writes the settings");
+        let file = std::fs::File::create(&log).expect("a log file");
+        let output = output.into().unwrap_or_else(|| file.into());
         let child = Command::new(env!("CARGO_BIN_EXE_chervildrift"))
             .args(["relay", "--config"])
             .arg(&settings)
-            .stdout(std::fs::File::create(&log).expect("a log file"))
+            .stdout(output)
             .stderr(Stdio::null())
             .spawn()
             .expect("relay starts");
@@ -138,6 +145,11 @@
         self.child.wait().expect("the process ends").success()
     }
 
+    /// Returns the reading end of the log of a VM that writes it to a pipe.
+    pub const fn take_output(&mut self) -> Option<ChildStdout> {
+        self.child.stdout.take()
+    }
+
     /// Returns the lines that the VM has logged.
     pub fn log(&self) -> Vec<serde_json::Value> {
         let text = std::fs::read_to_string(&self.log).expect("a log");
--- a/chervildrift_core/src/limit/mod.rs
+++ b/chervildrift_core/src/limit/mod.rs
@@ -1,9 +1,12 @@
-//! Adaptive concurrency limit of an upstream, retry budget of a kind and throttle of an entry.
+//! Adaptive concurrency limit of an upstream, retry budget of a kind, throttle of an entry and quota
+//! of log lines.
 
 mod adaptive;
+mod quota;
 mod retry;
 mod throttle;
 
 pub use self::adaptive::{Adaptive, Sample};
+pub use self::quota::LineQuota;
 pub use self::retry::{RetryBudget, RetryRules};
 pub use self::throttle::Throttle;
--- /dev/null
+++ b/chervildrift_core/src/limit/quota.rs
@@ -0,0 +1,42 @@
+//! Quota of log lines, so that a flood of failures does not become a flood of lines.
+
+use crate::types::Time;
+
+/// Lines a second that are written of one event; on-call work needs examples, not every line.
+const RATE: f64 = 100.0;
+
+/// Lines that are written at once after a quiet time, as at the start of a fault.
+const BURST: f64 = 400.0;
+
+/// Quota of the lines of one event.
+#[derive(Clone, Debug)]
+pub struct LineQuota {
+    at: Time,
+    left: f64,
+    dropped: u64,
+}
+
+impl LineQuota {
+    /// Opens a full quota.
+    #[must_use]
+    pub const fn open() -> Self {
+        Self {
+            at: Time(0),
+            left: BURST,
+            dropped: 0,
+        }
+    }
+
+    /// Takes a line; returns how many were dropped since the last one, or `None` if this one is too.
+    pub fn take(&mut self, now: Time) -> Option<u64> {
+        let span = now.since(self.at);
+        self.at = now;
+        self.left = (self.left + span.as_secs_f64() * RATE).min(BURST);
+        if self.left < 1.0 {
+            self.dropped += 1;
+            return None;
+        }
+        self.left -= 1.0;
+        Some(std::mem::take(&mut self.dropped))
+    }
+}
