Take up the claims of a restarted process, and take in listings in one place

Cause: a VM that was restarted still counted as holder of the claims of its earlier process, which knows no token of them; nobody could replace a leader while the store was away. A listing that a peer passed on did not bring back an entry whose version was unchanged after it had lapsed. Change: a restarted VM claims again; node::take_listing serves the store's listings and those of peers; two unused accessors are gone.

--- a/chervildrift/src/relay/claims.rs
+++ b/chervildrift/src/relay/claims.rs
@@ -68,7 +68,8 @@
 
 /// Claims services ahead of any need, so that a leader can be replaced while the store is away.
 ///
-/// The first VM in a service's order does so once the holder of the last claim no longer runs.
+/// The first VM in a service's order does so once the holder of the last claim no longer runs, and a
+/// VM that was restarted takes up the claims of its earlier process.
 pub(super) async fn hold_claims(node: &Node, listing: &Listing) {
     let live: Vec<Vm> = live_peers(listing).into_iter().map(|it| it.vm).collect();
     let services = node.routes.borrow().services();
@@ -84,7 +85,10 @@
         let spread = chervildrift_core::placement::digest(service.as_str());
         let first = live.get((spread % live.len().max(1) as u64) as usize);
         let vacant = held.as_ref().is_none_or(|it| !live.contains(&it.vm));
-        if first != Some(&node.settings.vm) || !vacant {
+        let inherited = held
+            .as_ref()
+            .is_some_and(|it| it.vm == node.settings.vm && !mine(it));
+        if !(inherited || vacant && first == Some(&node.settings.vm)) {
             continue;
         }
         let claim = Claim {
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -114,6 +114,21 @@
         self.follow_reports(&service);
     }
 
+    /// Takes in a full listing of the upstreams, whose entries may be older than known ones; upstreams
+    /// that it lacks lapse.
+    pub(super) fn take_listing(&self, entries: Vec<Entry>) {
+        let names: Vec<Upstream> = entries.iter().map(|it| it.upstream.clone()).collect();
+        self.directory.borrow_mut().retain(clock::now(), &names);
+        for entry in entries {
+            let known = self.directory.borrow().get(&entry.upstream).cloned();
+            if known.is_none_or(|known| known.version <= entry.version) {
+                self.take_entry(entry);
+            }
+        }
+        self.listed.set(true);
+        self.update_ready();
+    }
+
     /// Forgets upstreams.
     pub(super) fn forget(&self, gone: &[Upstream]) {
         for upstream in gone {
--- a/chervildrift/src/relay/peers.rs
+++ b/chervildrift/src/relay/peers.rs
@@ -208,27 +208,10 @@
             "version" => beliefs.routes.version, "upstreams" => beliefs.entries.len());
     }
     node.take_routes(beliefs.routes);
-    let names: Vec<Upstream> = beliefs
-        .entries
-        .iter()
-        .map(|it| it.upstream.clone())
-        .collect();
-    node.directory.borrow_mut().retain(clock::now(), &names);
-    for entry in beliefs.entries {
-        let known = node
-            .directory
-            .borrow()
-            .get(&entry.upstream)
-            .map(|it| it.version);
-        if known.is_none_or(|known| known < entry.version) {
-            node.take_entry(entry);
-        }
-    }
+    node.take_listing(beliefs.entries);
     if node.peers.borrow().len() < beliefs.peers.len() {
         node.take_peers(beliefs.peers);
     }
-    node.listed.set(true);
-    node.update_ready();
 }
 
 /// Looks for a VM that reaches an upstream; the first one that does carries the connection.
--- a/chervildrift/src/relay/watch.rs
+++ b/chervildrift/src/relay/watch.rs
@@ -114,13 +114,7 @@
 pub(super) async fn upstreams(node: Rc<Node>) {
     let list = |node: &Node, rows: Vec<Row>| {
         let entries: Vec<Entry> = rows.iter().filter_map(|row| entry(node, row)).collect();
-        let names: Vec<Upstream> = entries.iter().map(|it| it.upstream.clone()).collect();
-        node.directory.borrow_mut().retain(clock::now(), &names);
-        for entry in entries {
-            node.take_entry(entry);
-        }
-        node.listed.set(true);
-        node.update_ready();
+        node.take_listing(entries);
     };
     let change = |node: &Node, row: Row| {
         let upstream = Upstream::from(row.key.as_str());
--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -81,6 +81,30 @@
     assert!(answer.is_signed(), "{answer:?} {:#?}", fleet.vms[0].log());
 }
 
+/// Guards against a claim that nobody can use while the store is away, since its holder was restarted.
+#[tokio::test(flavor = "multi_thread")]
+async fn restarted_holder() {
+    let mut fleet = Fleet::spawn(3, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    await_claim(&fleet).await;
+    let claims = |vm: &relayed::Vm| {
+        let log = vm.log();
+        log.iter().filter(|line| line["event"] == "claim").count()
+    };
+    let holder = fleet.vms.iter().position(|vm| claims(vm) > 0);
+    let holder = holder.expect("a holder");
+    let before = claims(&fleet.vms[holder]);
+    fleet.vms[holder].restart();
+    await_true("another claim", async || {
+        claims(&fleet.vms[holder]) > before
+    })
+    .await;
+    fleet.vms[holder].await_ready(true).await;
+    let gap = replace_without_store(&fleet).await;
+    assert!(gap <= GAP, "{gap:?}");
+}
+
 /// Guards against a failover that waits for VMs which do not answer although enough others do.
 #[tokio::test(flavor = "multi_thread")]
 async fn frozen_voter() {
--- a/chervildrift/tests/relayed/mod.rs
+++ b/chervildrift/tests/relayed/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -32,6 +32,7 @@
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
+    settings: PathBuf,
     log: PathBuf,
 }
 
@@ -39,7 +40,9 @@
     fn drop(&mut self) {
         let _gone = self.child.kill();
         let _gone = self.child.wait();
-        let _gone = std::fs::remove_file(&self.log);
+        for file in [&self.settings, &self.log] {
+            let _gone = std::fs::remove_file(file);
+        }
     }
 }
 
@@ -102,24 +105,29 @@
         std::fs::write(&settings, text).expect("writes the settings");
         let file = std::fs::File::create(&log).expect("a log file");
         let output = output.into().unwrap_or_else(|| file.into());
-        let child = Command::new(env!("CARGO_BIN_EXE_chervildrift"))
-            .args(["relay", "--config"])
-            .arg(&settings)
-            .stdout(output)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("relay starts");
         self.vms.push(Vm {
-            child,
+            child: start(&settings, output),
             callers,
             operators,
             peers,
+            settings,
             log,
         });
         self.vms.last().expect("a VM was added")
     }
 }
 
+/// Starts a relaying VM.
+fn start(settings: &Path, output: Stdio) -> Child {
+    let child = Command::new(env!("CARGO_BIN_EXE_chervildrift"))
+        .args(["relay", "--config"])
+        .arg(settings)
+        .stdout(output)
+        .stderr(Stdio::null())
+        .spawn();
+    child.expect("relay starts")
+}
+
 impl Vm {
     /// Waits until the VM says that it is ready, or that it is not.
     pub async fn await_ready(&self, ready: bool) {
@@ -140,6 +148,14 @@
         assert!(status.expect("kill runs").success());
     }
 
+    /// Kills the process and starts another one with the same settings.
+    pub fn restart(&mut self) {
+        self.child.kill().expect("killed");
+        self.child.wait().expect("the process ends");
+        let log = std::fs::File::options().append(true).open(&self.log);
+        self.child = start(&self.settings, log.expect("a log file").into());
+    }
+
     /// Waits for the end of the process and tells whether it was a success.
     pub fn wait(&mut self) -> bool {
         self.child.wait().expect("the process ends").success()
--- a/chervildrift_core/src/relay/admission.rs
+++ b/chervildrift_core/src/relay/admission.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use super::route::RouteTable;
-use super::statement::Access;
 use crate::dispatch::{KindPolicy, Policy, RAMP, WINDOW};
 use crate::types::{Kind, Rank, Service};
 
@@ -45,11 +44,3 @@
         adaptive: false,
     }
 }
-
-impl Access {
-    /// Tells whether the access needs the leader.
-    #[must_use]
-    pub const fn needs_leader(self) -> bool {
-        matches!(self, Self::Write)
-    }
-}
--- a/chervildrift_core/src/relay/session.rs
+++ b/chervildrift_core/src/relay/session.rs
@@ -66,12 +66,6 @@
         self.prepared.get(name)
     }
 
-    /// Returns the values.
-    #[must_use]
-    pub const fn values(&self) -> &Values {
-        &self.values
-    }
-
     /// Returns the steps after which a connection with these values and prepared names may run a
     /// statement of the session.
     #[must_use]
