End fences with the promotion, and promote no replica that lacks known commits

Fences were set one term higher in each round, so a promotion that was carried out late to a lower term did not end them; two replicas received nothing for 16 s, and one of them was promoted when the others did not answer, although the primary that was leaving still ran 250 commits ahead. Ruled out: the platform's late orders themselves; their tokens were in order. A replica takes over only if it has the newest known position of a leader that leaves, or, for 2 s, what any replica was seen to have received of one that is gone. Tests: relay_leaders unanswered_orders (replicas stayed fenced) and brief_silence (i-1 was promoted without the commit, seen by a mutation of the wait).

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -92,10 +92,7 @@
             }
         }
     }
-    let kept = node.with_group(service, |group| group.leader() == leader);
-    if kept {
-        replacement.succession.abandon().await;
-    }
+    replacement.succession.release().await;
 }
 
 impl Replacement<'_> {
@@ -219,43 +216,52 @@
         self.promote(promotions, token, end).await;
     }
 
-    /// Orders a promotion under a token until it is taken or refused, for as long as the leader has
-    /// to be replaced and no other VM may claim the service.
+    /// Orders promotions under a token until one is taken or refused, for as long as the leader has to
+    /// be replaced and no other VM may claim the service.
     async fn promote(&mut self, promotions: &Promotions, token: u64, end: Time) {
-        let mut attempt = 0;
         let mut chosen = None;
         while self.is_due() && clock::now() < end {
             if chosen.is_none() {
                 chosen = self.succession.settle().await;
             }
-            let Some(target) = chosen.clone().filter(|_| self.is_due()) else {
+            let Some(target) = chosen.as_ref().filter(|_| self.is_due()) else {
                 sleep(PAUSE).await;
                 continue;
             };
-            let vm = &self.node.settings.vm;
-            let order = promotions.promote(self.service, &target, vm, token).await;
-            info!(self.node.log, "promotion ordered"; "event" => "failover",
-                "service" => %self.service, "upstream" => %target, "token" => token,
-                "replaces" => self.leader.map(Upstream::as_str), "attempt" => attempt,
-                "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
-            let outcome = match &order {
-                Ok(()) => "taken",
-                Err(OrderError::Conflict) => "conflict",
-                Err(_) => "failed",
-            };
-            self.node.metrics.ordered(self.service, outcome);
-            attempt += 1;
-            match order {
+            match self.order(promotions, target, token).await {
                 Ok(()) => {
                     self.ordered = Some(clock::now());
                     return;
                 }
                 Err(OrderError::Conflict | OrderError::Rejected(_)) => {
                     self.node.claims.borrow_mut().remove(self.service);
-                    return;
+                    break;
                 }
                 Err(_) => sleep(PAUSE).await,
             }
         }
+        self.succession.release().await;
+    }
+
+    /// Orders a promotion once.
+    async fn order(
+        &self,
+        promotions: &Promotions,
+        target: &Upstream,
+        token: u64,
+    ) -> Result<(), OrderError> {
+        let vm = &self.node.settings.vm;
+        let order = promotions.promote(self.service, target, vm, token).await;
+        info!(self.node.log, "promotion ordered"; "event" => "failover",
+            "service" => %self.service, "upstream" => %target, "token" => token,
+            "replaces" => self.leader.map(Upstream::as_str),
+            "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
+        let outcome = match &order {
+            Ok(()) => "taken",
+            Err(OrderError::Conflict) => "conflict",
+            Err(_) => "failed",
+        };
+        self.node.metrics.ordered(self.service, outcome);
+        order
     }
 }
--- a/chervildrift/src/relay/presence.rs
+++ b/chervildrift/src/relay/presence.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{Peer, Presence, live};
-use chervildrift_core::types::Vm;
+use chervildrift_core::types::{Service, Upstream, Vm};
 use chervildrift_platform::store::{Key, Listing, Transaction};
 use slog::warn;
 use tokio::time::sleep;
 
 use super::claims;
 use super::node::Node;
+use super::replicas;
 
 /// Table of the VMs' own records.
 pub(super) const TABLE: &str = "chervildrift";
@@ -68,6 +69,7 @@
             }
             node.take_peers(peers);
             claims::hold_claims(node, &listing).await;
+            inspect(node).await;
             true
         }
         Err(err) => {
@@ -77,6 +79,23 @@
     }
 }
 
+/// Looks at the replicas of the services whose claims this VM holds, for fences that were left behind.
+async fn inspect(node: &Rc<Node>) {
+    let services: Vec<Service> = node.claims.borrow().keys().cloned().collect();
+    for service in services {
+        let leader = node.with_group(&service, |group| group.leader().cloned());
+        let others: Vec<Upstream> = {
+            let directory = node.directory.borrow();
+            let entries = directory.of(&service);
+            let entries = entries.filter(|it| Some(&it.upstream) != leader.as_ref());
+            entries.map(|it| it.upstream.clone()).collect()
+        };
+        for upstream in others {
+            replicas::observe(node, &service, &upstream).await;
+        }
+    }
+}
+
 fn me(node: &Node) -> Peer {
     Peer {
         vm: node.settings.vm.clone(),
--- a/chervildrift/src/relay/succession.rs
+++ b/chervildrift/src/relay/succession.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{Replica, quorum, successor};
-use chervildrift_core::types::{Mark, Role, Service, Upstream};
+use chervildrift_core::types::{Mark, Role, Service, Time, Upstream};
 use chervildrift_platform::wire::Command;
 use futures::future::join_all;
 use slog::{info, warn};
@@ -17,6 +17,10 @@
 /// Looks at the chosen replica until it has received what fenced ones have.
 const CATCH_UPS: u32 = 3;
 
+/// Time for which a replica that has more than all others and does not answer is waited for; a link
+/// that is restored or a process that was restarted takes about as long.
+const PATIENCE: Duration = Duration::from_secs(2);
+
 /// Pause between such looks; a commit takes about the way between regions.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(25);
 
@@ -26,6 +30,7 @@
     service: &'a Service,
     leader: Option<&'a Upstream>,
     planned: bool,
+    opened: Time,
     /// Replicas that were fenced.
     fenced: Vec<Upstream>,
 }
@@ -35,7 +40,7 @@
 
 impl<'a> Succession<'a> {
     /// Opens the succession of a leader, if one is known.
-    pub(super) const fn open(
+    pub(super) fn open(
         node: &'a Rc<Node>,
         service: &'a Service,
         leader: Option<&'a Upstream>,
@@ -46,6 +51,7 @@
             service,
             leader,
             planned,
+            opened: clock::now(),
             fenced: Vec::new(),
         }
     }
@@ -57,10 +63,11 @@
         let rules = self.node.routes.borrow().rules(self.service);
         let sync_replicas = rules.map_or(0, |rules| rules.sync_replicas);
         let needed = quorum(known.len(), sync_replicas);
+        let current = self.current();
         let told = self.ask(&known, Command::Status).await;
         info!(self.node.log, "logs compared"; "event" => "failover", "service" => %self.service,
             "known" => known.len(), "needed" => needed, "received" => list(&told));
-        let newest = told.iter().map(|(_, it)| it.term.max(it.fence)).max()?;
+        let newest = told.iter().map(|(_, it)| it.term).max()?;
         let leads = |(_, it): &&Answer| it.role == Some(Role::Primary) && it.term == newest;
         if let Some((upstream, _)) = told.iter().find(leads) {
             info!(self.node.log, "another upstream leads already"; "event" => "failover",
@@ -81,13 +88,14 @@
             .map(|(upstream, _)| upstream.clone())
             .filter(|upstream| *upstream != chosen.upstream)
             .collect();
+        // The promotion to this term ends the fence; one at a higher term would outlast it.
         let fence = newest.next();
         let mut held = self.ask(&others, Command::Fence(fence)).await;
         held.retain(|(_, it)| it.fence >= fence);
         self.fenced.extend(held.iter().map(|(it, _)| it.clone()));
         info!(self.node.log, "replicas fenced"; "event" => "fence", "service" => %self.service,
             "chosen" => %chosen.upstream, "fence" => %fence, "received" => list(&held));
-        let most = held.iter().map(|(_, it)| it.received).max();
+        let most = held.iter().map(|(_, it)| it.received).max().max(current);
         let complete = self.catch_up(&chosen, most).await;
         if held.len() + 1 < needed || !complete {
             warn!(self.node.log, "succession not secured"; "event" => "failover",
@@ -98,8 +106,8 @@
         Some(chosen.upstream)
     }
 
-    /// Lets the fenced replicas receive again from a leader that was not replaced.
-    pub(super) async fn abandon(&mut self) {
+    /// Lets the fenced replicas receive again, once there is a new leader or an order was not taken.
+    pub(super) async fn release(&mut self) {
         self.fenced.sort();
         self.fenced.dedup();
         for upstream in std::mem::take(&mut self.fenced) {
@@ -107,6 +115,23 @@
         }
     }
 
+    /// Returns a position that the next leader must have: the newest one of a leader that leaves and
+    /// still runs, or what a replica was seen to have received of one that is gone.
+    ///
+    /// Such a replica may be silent for good, so the latter is asked for only for a while.
+    fn current(&self) -> Option<Mark> {
+        let now = clock::now();
+        self.node.with_group(self.service, |group| {
+            if !self.planned {
+                let waits = now.since(self.opened) < PATIENCE;
+                return group.most_received().filter(|_| waits);
+            }
+            let directory = self.node.directory.borrow();
+            let leader = self.leader.filter(|it| !directory.is_closed(now, it));
+            leader.and(group.newest())
+        })
+    }
+
     /// Waits until the chosen replica has received a position; false if it does not.
     async fn catch_up(&self, chosen: &Replica, most: Option<Mark>) -> bool {
         let mut received = chosen.received;
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -187,6 +187,26 @@
     assert_eq!(fleet.platform.database.value("x").as_deref(), Some("kept"));
 }
 
+/// Guards against the loss of a commit that one replica has confirmed and that answers again soon.
+#[tokio::test(flavor = "multi_thread")]
+async fn brief_silence() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    fleet.platform.database.set_deaf(1, true);
+    assert!(session.run("WRITE x kept").await.is_signed());
+    for member in [0, 2] {
+        fleet.platform.database.set_dark(member, true);
+    }
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    fleet.platform.database.set_dark(2, false);
+    await_true("new primary", async || {
+        fleet.platform.database.primary() != Some(0)
+    })
+    .await;
+    assert_eq!(fleet.platform.database.primary(), Some(2));
+    assert_eq!(fleet.platform.database.value("x").as_deref(), Some("kept"));
+}
+
 /// Guards against commits that a replica which is not chosen receives during a planned change, and
 /// against replicas that stay fenced after it.
 #[tokio::test(flavor = "multi_thread")]
@@ -209,3 +229,31 @@
     assert_eq!(fenced, [3 - primary], "all but the old and the new primary");
     assert!(fleet.platform.database.fenced().is_empty());
 }
+
+/// Guards against replicas that receive nothing while, and after, orders to promote stay unanswered,
+/// and against the promotion of one that lacks commits of a primary which still runs.
+#[tokio::test(flavor = "multi_thread")]
+async fn unanswered_orders() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    fleet.platform.database.ignore_orders(7);
+    fleet.platform.database.set_draining(0);
+    fleet.platform.register();
+    let mut round = 1;
+    await_true("new primary", async || {
+        fleet.platform.database.primary() != Some(0)
+    })
+    .await;
+    await_true("replicas without fences", async || {
+        fleet.platform.database.fenced().is_empty()
+    })
+    .await;
+    while round < 20 {
+        round += 1;
+        assert!(session.run(&format!("WRITE x {round}")).await.is_signed());
+    }
+    let primary = fleet.platform.database.primary().expect("a primary");
+    let received = fleet.platform.database.lengths();
+    assert_eq!(received[3 - primary], received[primary], "{received:?}");
+}
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -259,6 +259,12 @@
         }
     }
 
+    /// Returns the most that a replica was seen to have received under this leader.
+    #[must_use]
+    pub fn most_received(&self) -> Option<Mark> {
+        self.received.iter().map(|(_, mark)| *mark).max()
+    }
+
     /// Notes the term of a leader, or of a commit under one.
     pub fn note_term(&mut self, term: Term) {
         self.newest = self.newest.max(term);
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -71,6 +71,7 @@
     token: u64,
     lag: Duration,
     lost_answers: u32,
+    ignored_orders: u32,
     runs: Vec<Run>,
     next: u64,
     sequence: u64,
@@ -110,6 +111,7 @@
                 token: 0,
                 lag: options.lag,
                 lost_answers: 0,
+                ignored_orders: 0,
                 runs: Vec::new(),
                 next: 0,
                 sequence: 0,
@@ -151,6 +153,11 @@
         self.lock().members[member].fault = Fault::Deaf.when(deaf);
     }
 
+    /// Returns the number of commits that each database has received.
+    pub fn lengths(&self) -> Vec<usize> {
+        self.lock().members.iter().map(|it| it.log.len()).collect()
+    }
+
     /// Returns the databases that are fenced.
     pub fn fenced(&self) -> Vec<usize> {
         let state = self.lock();
@@ -190,6 +197,18 @@
         self.lock().lost_answers = count;
     }
 
+    /// Leaves the next orders to promote without answer and effect.
+    pub fn ignore_orders(&self, count: u32) {
+        self.lock().ignored_orders = count;
+    }
+
+    pub(super) fn ignores_order(&self) -> bool {
+        let mut state = self.lock();
+        let ignored = state.ignored_orders > 0;
+        state.ignored_orders = state.ignored_orders.saturating_sub(1);
+        ignored
+    }
+
     /// Closes all connections to the databases, as a restart of them does.
     pub fn close_connections(&self) {
         self.lock().closed += 1;
@@ -210,10 +229,14 @@
             return;
         }
         state.term += 1;
+        let term = state.term;
         let log = state.members[target].log.clone();
         for (index, member) in state.members.iter_mut().enumerate() {
             member.primary = index == target;
-            member.fence = 0;
+            // A fence above the new term holds on.
+            if member.fence <= term {
+                member.fence = 0;
+            }
             let common = member.log.len().min(log.len());
             member.log.truncate(common);
             member.applied = member.applied.min(common);
--- a/chervildrift_standin/src/deployment/http.rs
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -70,6 +70,9 @@
             }
         }
         (&Method::POST, "/promotion") => {
+            if handle.database.ignores_order() {
+                std::future::pending::<()>().await;
+            }
             let token = head.headers.get("X-Chervildrift-Fencing-Token");
             let token = token.and_then(|it| it.to_str().ok()?.parse().ok());
             let id = call["id"].as_str().unwrap_or_default();
