Order the same replica again when an order to promote stays without an answer

Change: as long as it stays and can be brought up to the others, the replica that was ordered first is ordered again. Test: relay_succession ordered_again.

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -234,10 +234,14 @@
                     return;
                 }
                 Err(OrderError::Conflict | OrderError::Rejected(_)) => {
+                    self.succession.note_order(None);
                     self.node.claims.borrow_mut().remove(self.service);
                     break;
                 }
-                Err(_) => sleep(PAUSE).await,
+                Err(_) => {
+                    self.succession.note_order(Some(target));
+                    sleep(PAUSE).await;
+                }
             }
         }
         self.succession.release().await;
--- a/chervildrift/src/relay/succession.rs
+++ b/chervildrift/src/relay/succession.rs
@@ -31,6 +31,8 @@
     leader: Option<&'a Upstream>,
     planned: bool,
     opened: Time,
+    /// Replica whose promotion was ordered and may still come.
+    ordered: Option<Upstream>,
     /// Replicas that were fenced.
     fenced: Vec<Upstream>,
 }
@@ -52,6 +54,7 @@
             leader,
             planned,
             opened: clock::now(),
+            ordered: None,
             fenced: Vec::new(),
         }
     }
@@ -75,7 +78,8 @@
             return None;
         }
         let replicas: Vec<Replica> = told.iter().map(|answer| self.replica(answer)).collect();
-        let chosen = match successor(&replicas, needed, self.planned) {
+        let ordered = self.ordered.as_ref();
+        let chosen = match successor(&replicas, ordered, needed, self.planned) {
             Ok(chosen) => chosen.clone(),
             Err(obstacle) => {
                 warn!(self.node.log, "no upstream to promote"; "event" => "failover",
@@ -98,6 +102,7 @@
         let most = held.iter().map(|(_, it)| it.received).max().max(current);
         let complete = self.catch_up(&chosen, most).await;
         if held.len() + 1 < needed || !complete {
+            self.ordered = None;
             warn!(self.node.log, "succession not secured"; "event" => "failover",
                 "service" => %self.service, "upstream" => %chosen.upstream,
                 "fenced" => held.len(), "needed" => needed, "complete" => complete);
@@ -106,6 +111,11 @@
         Some(chosen.upstream)
     }
 
+    /// Notes the replica whose promotion may come, or that none may.
+    pub(super) fn note_order(&mut self, upstream: Option<&Upstream>) {
+        self.ordered = upstream.cloned();
+    }
+
     /// Lets the fenced replicas receive again, once there is a new leader or an order was not taken.
     pub(super) async fn release(&mut self) {
         self.fenced.sort();
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -197,7 +197,7 @@
     for member in [0, 2] {
         fleet.platform.database.set_dark(member, true);
     }
-    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     fleet.platform.database.set_dark(2, false);
     await_true("new primary", async || {
         fleet.platform.database.primary() != Some(0)
--- a/chervildrift_core/src/relay/succession.rs
+++ b/chervildrift_core/src/relay/succession.rs
@@ -46,14 +46,25 @@
     known - sync_replicas + 1
 }
 
-/// Returns the replica that takes over: the furthest one.
+/// Returns the replica that takes over: the one that was ordered to before, or the furthest one.
 ///
-/// One that leaves takes over only if it alone has the last commits and the old leader is gone.
-pub fn successor(replicas: &[Replica], needed: usize, planned: bool) -> Result<&Replica, Obstacle> {
+/// An order without an answer may still be carried out, so a second one names the same replica; it has
+/// to be brought up to the others before. One that leaves takes over only if it alone has the last
+/// commits and the old leader is gone.
+pub fn successor<'a>(
+    replicas: &'a [Replica],
+    ordered: Option<&Upstream>,
+    needed: usize,
+    planned: bool,
+) -> Result<&'a Replica, Obstacle> {
     let told = replicas.len();
     if told < needed {
         return Err(Obstacle::TooFew { told, needed });
     }
+    let mut eligible = replicas.iter().filter(|it| it.eligible);
+    if let Some(again) = eligible.find(|it| Some(&it.upstream) == ordered) {
+        return Ok(again);
+    }
     let by_log = |it: &&Replica| (it.received, it.eligible);
     let furthest = replicas.iter().max_by_key(by_log);
     let furthest = furthest.ok_or(Obstacle::TooFew { told, needed })?;
--- a/chervildrift_core/tests/relay_succession.rs
+++ b/chervildrift_core/tests/relay_succession.rs
@@ -20,9 +20,9 @@
         replica("b", 2, 3, true),
         replica("c", 2, 2, true),
     ];
-    assert_eq!(successor(&told, 1, false), Ok(&told[1]));
+    assert_eq!(successor(&told, None, 1, false), Ok(&told[1]));
     let none = Obstacle::TooFew { told: 0, needed: 1 };
-    assert_eq!(successor(&[], 1, false), Err(none));
+    assert_eq!(successor(&[], None, 1, false), Err(none));
 }
 
 /// Guards against a promotion while the only replica with a commit may be one that is silent.
@@ -32,7 +32,7 @@
     assert_eq!([quorum(0, 1), quorum(1, 1), quorum(4, 1)], [1, 1, 4]);
     let told = [replica("a", 1, 9, true)];
     let obstacle = Obstacle::TooFew { told: 1, needed: 2 };
-    assert_eq!(successor(&told, 2, false), Err(obstacle));
+    assert_eq!(successor(&told, None, 2, false), Err(obstacle));
 }
 
 /// Guards against a replica that leaves as the next leader, and against the loss of commits that it
@@ -40,10 +40,25 @@
 #[test]
 fn leaving_replica() {
     let even = [replica("a", 1, 9, false), replica("b", 1, 9, true)];
-    assert_eq!(successor(&even, 1, false), Ok(&even[1]));
+    assert_eq!(successor(&even, None, 1, false), Ok(&even[1]));
     let ahead = [replica("a", 1, 9, false), replica("b", 1, 8, true)];
-    assert_eq!(successor(&ahead, 1, false), Ok(&ahead[0]));
-    assert_eq!(successor(&ahead, 1, true), Err(Obstacle::Behind));
+    assert_eq!(successor(&ahead, None, 1, false), Ok(&ahead[0]));
+    assert_eq!(successor(&ahead, None, 1, true), Err(Obstacle::Behind));
+}
+
+/// Guards against orders for two replicas, of which the platform may carry out the earlier one last.
+#[test]
+fn ordered_again() {
+    let told = [replica("a", 1, 8, true), replica("b", 1, 9, true)];
+    let ordered = Upstream::from("a");
+    assert_eq!(successor(&told, Some(&ordered), 1, true), Ok(&told[0]));
+    let leaving = [replica("a", 1, 8, false), replica("b", 1, 9, true)];
+    assert_eq!(
+        successor(&leaving, Some(&ordered), 1, true),
+        Ok(&leaving[1])
+    );
+    let gone = &told[1..];
+    assert_eq!(successor(gone, Some(&ordered), 1, true), Ok(&told[1]));
 }
 
 proptest! {
@@ -64,7 +79,7 @@
             .filter(|(_, silent)| !**silent)
             .map(|(log, _)| replica("r", 1, *log, true))
             .collect();
-        if let Ok(chosen) = successor(&told, quorum(known, sync), false)
+        if let Ok(chosen) = successor(&told, None, quorum(known, sync), false)
             && let Some(commit) = acknowledged
         {
             prop_assert!(chosen.received.position.0 >= commit);
