Tell callers when to come back after a refusal

Cause: a refusal that has not run named its reason but no time; the line protocol has no field for it. Change: the detail ends with the estimated wait, or a second while no primary is known. Test: relay_leaders no_primary (also that the refusal comes once hold_ms is over).

--- a/chervildrift/src/relay/answer.rs
+++ b/chervildrift/src/relay/answer.rs
@@ -1,5 +1,8 @@
 //! Answers to callers' statements.
 
+use std::borrow::Cow;
+use std::time::Duration;
+
 use chervildrift_core::relay::Code;
 use chervildrift_platform::wire;
 
@@ -26,6 +29,8 @@
     pub code: Code,
     /// Explanation for the caller and the log.
     pub detail: String,
+    /// When a statement that has not run may be sent again with a chance.
+    pub retry: Option<Duration>,
 }
 
 impl Failure {
@@ -34,6 +39,24 @@
         Self {
             code,
             detail: detail.into(),
+            retry: None,
+        }
+    }
+
+    /// Adds when the statement may be sent again.
+    pub(super) fn retry_after(mut self, pause: Duration) -> Self {
+        self.retry = Some(pause);
+        self
+    }
+
+    /// Returns the explanation with the time of the next try, for which the protocol has no field.
+    fn text(&self) -> Cow<'_, str> {
+        match self.retry {
+            None => Cow::Borrowed(&self.detail),
+            Some(pause) => {
+                let ms = pause.as_millis();
+                Cow::Owned(format!("{}; retry after {ms} ms", self.detail))
+            }
         }
     }
 }
@@ -59,7 +82,7 @@
                 wire::encode_success(rows, Some(signature), out);
             }
             Self::Taken => wire::encode_success(&[], None, out),
-            Self::Failed(failure) => wire::encode_error(failure.code, &failure.detail, out),
+            Self::Failed(failure) => wire::encode_error(failure.code, &failure.text(), out),
         }
     }
 }
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -34,6 +34,9 @@
 /// Interval at which a suspected leader is looked at by those who wait.
 const LEADER_POLL: Duration = Duration::from_millis(50);
 
+/// When a caller may come back after no leader was found; a failover ends within some seconds.
+const LEADER_RETRY: Duration = Duration::from_secs(1);
+
 /// Connections to one upstream while the configuration names no limit.
 const DEFAULT_CONNECTIONS: usize = 8;
 
@@ -254,7 +257,9 @@
             }
         };
         let found = timeout(limit, find).await;
-        found.map_err(|_elapsed| Failure::new(Code::Busy, "no primary is known"))
+        found.map_err(|_elapsed| {
+            Failure::new(Code::Busy, "no primary is known").retry_after(LEADER_RETRY)
+        })
     }
 
     /// Returns the pool of an upstream.
--- a/chervildrift/src/relay/turn.rs
+++ b/chervildrift/src/relay/turn.rs
@@ -24,6 +24,9 @@
 /// Pause before a try after an upstream had no room or no leader was found.
 pub(super) const PAUSE: Duration = Duration::from_millis(25);
 
+/// Least pause before a caller comes back after a full queue; some statements finish in it.
+const QUEUE_RETRY: Duration = Duration::from_millis(100);
+
 /// Wait for a sample of the leader's log; several ways between regions and one probe.
 const SAMPLE_WAIT: Duration = Duration::from_millis(300);
 
@@ -216,7 +219,7 @@
         let lease = pool.acquire(demand).await;
         lease.map_err(|refusal| {
             let detail = format!("{} {}: {refusal}", target.place(), target.upstream);
-            Failure::new(Code::Busy, detail)
+            Failure::new(Code::Busy, detail).retry_after(refusal.wait().max(QUEUE_RETRY))
         })
     }
 
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -109,6 +109,31 @@
     assert_eq!(fleet.platform.database.primary(), Some(1));
 }
 
+/// Guards against a refusal that does not say when to come back, and against one that is held back
+/// for longer than the settings allow.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_primary() {
+    let fleet = Fleet::spawn_with(1, &Options::default(), "hold_ms: 300\n").await;
+    let mut session = fleet.vms[0].session("strict").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    for member in 0..3 {
+        fleet.platform.database.set_dark(member, true);
+    }
+    fleet.platform.database.close_connections();
+    await_true("refusal", async || {
+        let mut session = fleet.vms[0].session("strict").await;
+        let start = Instant::now();
+        let answer = session.run("READ x").await;
+        let found = answer.result.contains("no primary is known");
+        found && {
+            assert!(start.elapsed() < Duration::from_secs(1), "{answer:?}");
+            assert!(answer.result.starts_with("ERROR BUSY"), "{answer:?}");
+            answer.result.ends_with("retry after 1000 ms")
+        }
+    })
+    .await;
+}
+
 /// Guards against a promotion while a minority of the VMs can't reach the primary.
 #[tokio::test(flavor = "multi_thread")]
 async fn store_outage() {
--- a/chervildrift_core/src/dispatch/job.rs
+++ b/chervildrift_core/src/dispatch/job.rs
@@ -86,6 +86,17 @@
     }
 }
 
+impl Refusal {
+    /// Returns the estimated wait behind the jobs that were there, if it was the reason.
+    #[must_use]
+    pub const fn wait(&self) -> Duration {
+        match self {
+            Self::TooLate(wait, _) => *wait,
+            _ => Duration::ZERO,
+        }
+    }
+}
+
 /// Load of one rank at a dispatcher.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct RankLoad {
