--- a/chervildrift_core/src/dispatch/mod.rs
+++ b/chervildrift_core/src/dispatch/mod.rs
@@ -10,7 +10,6 @@
 mod declare;
 mod estimate;
 mod gate;
-mod hash;
 mod job;
 mod kind;
 mod lists;
--- a/chervildrift_core/src/dispatch/scheduler.rs
+++ b/chervildrift_core/src/dispatch/scheduler.rs
@@ -3,9 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use rustc_hash::FxHashMap;
+
 use super::calendar::Calendar;
 use super::gate::Gate;
-use super::hash::IdHash;
 use super::job::{Finish, Job, JobId, JobIds, Refusal};
 use super::kind::KindState;
 use super::lists::Lists;
@@ -35,7 +36,7 @@
     /// Since when at least one slot has been free.
     pub(super) spare: Time,
     jobs: Lists<Waiting>,
-    places: HashMap<JobId, Place, IdHash>,
+    places: FxHashMap<JobId, Place>,
     /// Waiting jobs by their latest useful start.
     starts: Calendar,
     adaptive: Adaptive,
@@ -78,7 +79,7 @@
             gate: Gate::Open,
             spare: Time::default(),
             jobs: Lists::new(),
-            places: HashMap::default(),
+            places: FxHashMap::default(),
             starts: Calendar::new(),
             adaptive: Adaptive::open(policy.slots),
             expired: JobIds::new(),
