Model promotions at random, and judge a fenced succession in the core

Cause: whether the fenced replicas make a promotion safe was decided beside the I/O and covered by process tests alone. Change: Fenced::is_secured in the core; relay_promotions plays random histories of commits, silent replicas and fences that reach not all of them.

--- a/chervildrift/src/relay/succession.rs
+++ b/chervildrift/src/relay/succession.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Replica, quorum, successor};
+use chervildrift_core::relay::{Fenced, Replica, quorum, successor};
 use chervildrift_core::types::{Mark, Role, Service, Time, Upstream};
 use chervildrift_platform::wire::Command;
 use futures::future::join_all;
@@ -66,15 +66,15 @@
         let rules = self.node.routes.borrow().rules(self.service);
         let sync_replicas = rules.map_or(0, |rules| rules.sync_replicas);
         let needed = quorum(known.len(), sync_replicas);
-        let current = self.current();
+        let newest = self.newest();
         let told = self.ask(&known, Command::Status).await;
         info!(self.node.log, "logs compared"; "event" => "failover", "service" => %self.service,
             "known" => known.len(), "needed" => needed, "received" => list(&told));
-        let newest = told.iter().map(|(_, it)| it.term).max()?;
-        let leads = |(_, it): &&Answer| it.role == Some(Role::Primary) && it.term == newest;
+        let term = told.iter().map(|(_, it)| it.term).max()?;
+        let leads = |(_, it): &&Answer| it.role == Some(Role::Primary) && it.term == term;
         if let Some((upstream, _)) = told.iter().find(leads) {
             info!(self.node.log, "another upstream leads already"; "event" => "failover",
-                "service" => %self.service, "upstream" => %upstream, "term" => %newest);
+                "service" => %self.service, "upstream" => %upstream, "term" => %term);
             return None;
         }
         let replicas: Vec<Replica> = told.iter().map(|answer| self.replica(answer)).collect();
@@ -87,25 +87,30 @@
                 return None;
             }
         };
-        let others: Vec<Upstream> = told
+        let rest: Vec<Upstream> = told
             .iter()
             .map(|(upstream, _)| upstream.clone())
             .filter(|upstream| *upstream != chosen.upstream)
             .collect();
         // The promotion to this term ends the fence; one at a higher term would outlast it.
-        let fence = newest.next();
-        let mut held = self.ask(&others, Command::Fence(fence)).await;
+        let fence = term.next();
+        let mut held = self.ask(&rest, Command::Fence(fence)).await;
         held.retain(|(_, it)| it.fence >= fence);
         self.fenced.extend(held.iter().map(|(it, _)| it.clone()));
         info!(self.node.log, "replicas fenced"; "event" => "fence", "service" => %self.service,
             "chosen" => %chosen.upstream, "fence" => %fence, "received" => list(&held));
-        let most = held.iter().map(|(_, it)| it.received).max().max(current);
-        let complete = self.catch_up(&chosen, most).await;
-        if held.len() + 1 < needed || !complete {
+        let others: Vec<Mark> = held.iter().map(|(_, it)| it.received).collect();
+        let fenced = Fenced {
+            chosen: chosen.received,
+            others: &others,
+            newest,
+        };
+        let fenced = self.catch_up(&chosen.upstream, fenced).await;
+        if !fenced.is_secured(needed) {
             self.ordered = None;
             warn!(self.node.log, "succession not secured"; "event" => "failover",
                 "service" => %self.service, "upstream" => %chosen.upstream,
-                "fenced" => held.len(), "needed" => needed, "complete" => complete);
+                "fenced" => held.len(), "needed" => needed, "complete" => fenced.is_complete());
             return None;
         }
         Some(chosen.upstream)
@@ -129,7 +134,7 @@
     /// still runs, or what a replica was seen to have received of one that is gone.
     ///
     /// Such a replica may be silent for good, so the latter is asked for only for a while.
-    fn current(&self) -> Option<Mark> {
+    fn newest(&self) -> Option<Mark> {
         let now = clock::now();
         self.node.with_group(self.service, |group| {
             if !self.planned {
@@ -142,18 +147,18 @@
         })
     }
 
-    /// Waits until the chosen replica has received a position; false if it does not.
-    async fn catch_up(&self, chosen: &Replica, most: Option<Mark>) -> bool {
-        let mut received = chosen.received;
+    /// Waits until the chosen replica has received all that is known, for a few looks.
+    async fn catch_up<'f>(&self, chosen: &Upstream, mut fenced: Fenced<'f>) -> Fenced<'f> {
         for _ in 0..CATCH_UPS {
-            if most.is_none_or(|most| received >= most) {
-                return true;
+            if fenced.is_complete() {
+                break;
             }
             sleep(CATCH_UP_PAUSE).await;
-            let told = tell(self.node, &chosen.upstream, Command::Status).await;
-            received = told.map_or(received, |told| told.received);
+            if let Some(told) = tell(self.node, chosen, Command::Status).await {
+                fenced.chosen = told.received;
+            }
         }
-        most.is_none_or(|most| received >= most)
+        fenced
     }
 
     /// Returns all upstreams but the leader.
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -31,4 +31,4 @@
 pub use self::route::{Consistency, Route, RouteTable, Routes, ServiceRules};
 pub use self::session::{Phase, Session, Setup, Values};
 pub use self::statement::{Access, Shape, Statement};
-pub use self::succession::{Obstacle, Replica, quorum, successor};
+pub use self::succession::{Fenced, Obstacle, Replica, quorum, successor};
--- a/chervildrift_core/src/relay/succession.rs
+++ b/chervildrift_core/src/relay/succession.rs
@@ -74,3 +74,30 @@
     }
     Ok(furthest)
 }
+
+/// What is known once the replicas that were not chosen have been fenced.
+#[derive(Clone, Copy, Debug)]
+pub struct Fenced<'a> {
+    /// Last position that the chosen replica has received.
+    pub chosen: Mark,
+    /// Last positions that the fenced replicas have received.
+    pub others: &'a [Mark],
+    /// Newest position that any of them or the leader was seen to have, if it has to be kept.
+    pub newest: Option<Mark>,
+}
+
+impl Fenced<'_> {
+    /// Tells whether the chosen replica has received all that is known.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        let most = self.others.iter().copied().max().max(self.newest);
+        most.is_none_or(|most| self.chosen >= most)
+    }
+
+    /// Tells whether the promotion keeps every acknowledged commit, if `needed` replicas have to be
+    /// known.
+    #[must_use]
+    pub fn is_secured(&self, needed: usize) -> bool {
+        self.others.len() + 1 >= needed && self.is_complete()
+    }
+}
--- /dev/null
+++ b/chervildrift_core/tests/relay_promotions.rs
@@ -0,0 +1,166 @@
+//! Random histories of promotions: commits that arrive late or not at all, silent replicas, fences and
+//! orders, with the decisions of the core on whom to promote and when.
+//!
+//! `CHERVILDRIFT_CASES` sets the number of histories; proptest prints the history that fails and
+//! `PROPTEST_RNG_SEED` repeats a run.
+
+use chervildrift_core::relay::{Fenced, Replica, quorum, successor};
+use chervildrift_core::types::{Mark, Upstream};
+use proptest::prelude::*;
+
+/// Histories of a run in CI.
+const CASES: u32 = 1_000;
+
+/// One step of the world beside the promotion.
+#[derive(Clone, Debug)]
+enum Step {
+    /// The old leader takes a commit.
+    Commit,
+    /// A replica receives all that the leader has, unless it is fenced.
+    Receive(usize),
+}
+
+/// A history: the replicas, those that are silent towards the VM, and what happens between the steps
+/// of the promotion.
+#[derive(Clone, Debug)]
+struct History {
+    replicas: usize,
+    sync: usize,
+    silent: Vec<bool>,
+    /// Replicas that a fence does not reach.
+    missed: Vec<bool>,
+    phases: Vec<Vec<Step>>,
+}
+
+/// Phases: before the states are read, before the fences, before the look at the chosen replica, and
+/// before the promotion takes effect.
+const PHASES: usize = 4;
+
+fn history() -> impl Strategy<Value = History> {
+    (2_usize..6).prop_flat_map(|replicas| {
+        let step = prop_oneof![
+            2 => Just(Step::Commit),
+            3 => (0..replicas).prop_map(Step::Receive),
+        ];
+        let phase = prop::collection::vec(step, 0..10);
+        (
+            1..replicas,
+            prop::collection::vec(prop::bool::weighted(0.2), replicas),
+            prop::collection::vec(prop::bool::weighted(0.2), replicas),
+            prop::collection::vec(phase, PHASES),
+        )
+            .prop_map(move |(sync, silent, missed, phases)| History {
+                replicas,
+                sync,
+                silent,
+                missed,
+                phases,
+            })
+    })
+}
+
+struct World {
+    log: u64,
+    received: Vec<u64>,
+    fenced: Vec<bool>,
+    /// Last commit that was acknowledged, since enough replicas had received it.
+    acknowledged: u64,
+}
+
+impl World {
+    fn run(&mut self, sync: usize, steps: &[Step]) {
+        for step in steps {
+            match step {
+                Step::Commit => self.log += 1,
+                Step::Receive(at) if !self.fenced[*at] => self.received[*at] = self.log,
+                Step::Receive(_) => {}
+            }
+            let mut received = self.received.clone();
+            received.sort_unstable_by(|a, b| b.cmp(a));
+            self.acknowledged = self.acknowledged.max(received[sync - 1]);
+        }
+    }
+
+    fn mark(&self, at: usize) -> Mark {
+        Mark::new(1, self.received[at])
+    }
+}
+
+/// Plays a history; returns the last acknowledged commit and what the new leader has, if one is
+/// promoted.
+fn play(history: &History) -> Option<(u64, u64)> {
+    let mut world = World {
+        log: 0,
+        received: vec![0; history.replicas],
+        fenced: vec![false; history.replicas],
+        acknowledged: 0,
+    };
+    let name = |at: usize| Upstream::from(format!("r{at}"));
+    let needed = quorum(history.replicas, history.sync);
+    let answering: Vec<usize> = (0..history.replicas)
+        .filter(|at| !history.silent[*at])
+        .collect();
+    world.run(history.sync, &history.phases[0]);
+    let told: Vec<Replica> = answering
+        .iter()
+        .map(|at| Replica {
+            upstream: name(*at),
+            received: world.mark(*at),
+            eligible: true,
+        })
+        .collect();
+    let chosen = successor(&told, None, needed, false).ok()?;
+    let chosen = answering.iter().find(|at| name(**at) == chosen.upstream)?;
+    world.run(history.sync, &history.phases[1]);
+    let rest = answering
+        .iter()
+        .filter(|at| *at != chosen && !history.missed[**at]);
+    let others: Vec<Mark> = rest
+        .map(|at| {
+            world.fenced[*at] = true;
+            world.mark(*at)
+        })
+        .collect();
+    world.run(history.sync, &history.phases[2]);
+    let fenced = Fenced {
+        chosen: world.mark(*chosen),
+        others: &others,
+        newest: None,
+    };
+    if !fenced.is_secured(needed) {
+        return None;
+    }
+    world.run(history.sync, &history.phases[3]);
+    Some((world.acknowledged, world.received[*chosen]))
+}
+
+fn cases() -> u32 {
+    let cases = std::env::var("CHERVILDRIFT_CASES").ok();
+    cases.and_then(|it| it.parse().ok()).unwrap_or(CASES)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(cases()))]
+
+    /// Guards against a promotion that loses a commit which enough replicas had received, whenever it
+    /// was acknowledged before the promotion took effect.
+    #[test]
+    fn kept_commits(history in history()) {
+        if let Some((acknowledged, kept)) = play(&history) {
+            prop_assert!(kept >= acknowledged, "{kept} of {acknowledged} kept");
+        }
+    }
+}
+
+/// Guards against decisions that are safe only because nobody is ever promoted.
+#[test]
+fn promoted_often() {
+    let history = History {
+        replicas: 3,
+        sync: 1,
+        silent: vec![false; 3],
+        missed: vec![false; 3],
+        phases: vec![vec![Step::Commit, Step::Receive(1)]; PHASES],
+    };
+    assert_eq!(play(&history), Some((4, 4)));
+}
