Split the succession into its steps, and end a fence at once if nothing comes of it

A round that was not secured left its fences until the claim ran out; replicas whose fence went unanswered were not unfenced.

--- a/chervildrift/src/relay/succession.rs
+++ b/chervildrift/src/relay/succession.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{Fenced, Replica, quorum, successor};
-use chervildrift_core::types::{Mark, Role, Service, Time, Upstream};
+use chervildrift_core::types::{Mark, Role, Service, Term, Time, Upstream};
 use chervildrift_platform::wire::Command;
 use futures::future::join_all;
 use slog::{info, warn};
@@ -14,13 +14,13 @@
 use super::node::Node;
 use super::replicas::{Told, tell, unfence};
 
-/// Looks at the chosen replica until it has received what fenced ones have.
-const CATCH_UPS: u32 = 3;
-
 /// Time for which a replica that has more than all others and does not answer is waited for; a link
 /// that is restored or a process that was restarted takes about as long.
 const PATIENCE: Duration = Duration::from_secs(2);
 
+/// Looks at the chosen replica for what the fenced ones have received.
+const CATCH_UPS: u32 = 3;
+
 /// Pause between such looks; a commit takes about the way between regions.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(25);
 
@@ -40,6 +40,17 @@
 /// A replica and what it told.
 type Answer = (Upstream, Told);
 
+/// What the replicas told before any of them was fenced.
+struct Survey {
+    told: Vec<Answer>,
+    /// Newest term of any of them.
+    term: Term,
+    /// Replicas that have to be known.
+    needed: usize,
+    /// Position that the next leader must have, if one is known.
+    newest: Option<Mark>,
+}
+
 impl<'a> Succession<'a> {
     /// Opens the succession of a leader, if one is known.
     pub(super) fn open(
@@ -62,6 +73,29 @@
     /// Chooses the next leader and fences the other replicas, so that no commit is acknowledged from
     /// now on that the next leader lacks; `None` if that can't be made sure of yet.
     pub(super) async fn settle(&mut self) -> Option<Upstream> {
+        let survey = self.survey().await?;
+        let chosen = self.choose(&survey)?;
+        let held = self.fence(&survey, &chosen).await;
+        let others: Vec<Mark> = held.iter().map(|(_, it)| it.received).collect();
+        let fenced = Fenced {
+            chosen: chosen.received,
+            others: &others,
+            newest: survey.newest,
+        };
+        let fenced = self.catch_up(&chosen.upstream, fenced).await;
+        if fenced.is_secured(survey.needed) {
+            return Some(chosen.upstream);
+        }
+        warn!(self.node.log, "succession not secured"; "event" => "failover",
+            "service" => %self.service, "upstream" => %chosen.upstream, "fenced" => held.len(),
+            "needed" => survey.needed, "complete" => fenced.is_complete());
+        self.ordered = None;
+        self.release().await;
+        None
+    }
+
+    /// Asks all replicas for their state; `None` if nobody answers or one of them leads already.
+    async fn survey(&self) -> Option<Survey> {
         let known = self.replicas();
         let rules = self.node.routes.borrow().rules(self.service);
         let sync_replicas = rules.map_or(0, |rules| rules.sync_replicas);
@@ -77,43 +111,43 @@
                 "service" => %self.service, "upstream" => %upstream, "term" => %term);
             return None;
         }
-        let replicas: Vec<Replica> = told.iter().map(|answer| self.replica(answer)).collect();
+        Some(Survey {
+            told,
+            term,
+            needed,
+            newest,
+        })
+    }
+
+    /// Chooses the next leader.
+    fn choose(&self, survey: &Survey) -> Option<Replica> {
+        let told = survey.told.iter();
+        let replicas: Vec<Replica> = told.map(|answer| self.replica(answer)).collect();
         let ordered = self.ordered.as_ref();
-        let chosen = match successor(&replicas, ordered, needed, self.planned) {
-            Ok(chosen) => chosen.clone(),
-            Err(obstacle) => {
+        let chosen = successor(&replicas, ordered, survey.needed, self.planned);
+        chosen
+            .inspect_err(|obstacle| {
                 warn!(self.node.log, "no upstream to promote"; "event" => "failover",
                     "service" => %self.service, "reason" => %obstacle);
-                return None;
-            }
-        };
-        let rest: Vec<Upstream> = told
-            .iter()
-            .map(|(upstream, _)| upstream.clone())
-            .filter(|upstream| *upstream != chosen.upstream)
-            .collect();
+            })
+            .ok()
+            .cloned()
+    }
+
+    /// Fences the replicas that were not chosen; returns those that are.
+    async fn fence(&mut self, survey: &Survey, chosen: &Replica) -> Vec<Answer> {
+        let told = survey.told.iter().map(|(upstream, _)| upstream);
+        let rest = told.filter(|upstream| **upstream != chosen.upstream);
+        let rest: Vec<Upstream> = rest.cloned().collect();
         // The promotion to this term ends the fence; one at a higher term would outlast it.
-        let fence = term.next();
+        let fence = survey.term.next();
         let mut held = self.ask(&rest, Command::Fence(fence)).await;
         held.retain(|(_, it)| it.fence >= fence);
-        self.fenced.extend(held.iter().map(|(it, _)| it.clone()));
+        // One whose answer was lost may be fenced all the same.
+        self.fenced.extend(rest);
         info!(self.node.log, "replicas fenced"; "event" => "fence", "service" => %self.service,
             "chosen" => %chosen.upstream, "fence" => %fence, "received" => list(&held));
-        let others: Vec<Mark> = held.iter().map(|(_, it)| it.received).collect();
-        let fenced = Fenced {
-            chosen: chosen.received,
-            others: &others,
-            newest,
-        };
-        let fenced = self.catch_up(&chosen.upstream, fenced).await;
-        if !fenced.is_secured(needed) {
-            self.ordered = None;
-            warn!(self.node.log, "succession not secured"; "event" => "failover",
-                "service" => %self.service, "upstream" => %chosen.upstream,
-                "fenced" => held.len(), "needed" => needed, "complete" => fenced.is_complete());
-            return None;
-        }
-        Some(chosen.upstream)
+        held
     }
 
     /// Notes the replica whose promotion may come, or that none may.
@@ -121,13 +155,15 @@
         self.ordered = upstream.cloned();
     }
 
-    /// Lets the fenced replicas receive again, once there is a new leader or an order was not taken.
+    /// Lets the fenced replicas receive again: there is a new leader, or none comes of this round.
     pub(super) async fn release(&mut self) {
         self.fenced.sort();
         self.fenced.dedup();
-        for upstream in std::mem::take(&mut self.fenced) {
-            unfence(self.node, self.service, &upstream).await;
-        }
+        let fenced = std::mem::take(&mut self.fenced);
+        let lifted = fenced
+            .iter()
+            .map(|upstream| unfence(self.node, self.service, upstream));
+        join_all(lifted).await;
     }
 
     /// Returns a position that the next leader must have: the newest one of a leader that leaves and
