--- a/chervildrift/src/relay/replicas.rs
+++ b/chervildrift/src/relay/replicas.rs
@@ -17,9 +17,9 @@
 /// Time for an upstream to tell its state.
 const STATUS_LIMIT: Duration = Duration::from_millis(500);
 
-/// What an upstream told of itself.
+/// State of an upstream as it tells it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct Told {
+pub(super) struct UpstreamState {
     /// Role as it sees itself, unless it was too busy to tell.
     pub role: Option<Role>,
     /// Newest term that it knows.
@@ -31,15 +31,15 @@
 }
 
 /// Asks an upstream for its state, or changes its fence.
-pub(super) async fn tell(
+pub(super) async fn query_state(
     node: &Rc<Node>,
     upstream: &Upstream,
     command: Command<'_>,
-) -> Option<Told> {
+) -> Option<UpstreamState> {
     let reply = ask(node, upstream, &[command]).await?;
     let row = reply.rows.first().and_then(|it| parse_status(it).ok());
     let received = row.and_then(|row| row.received).or(reply.mark)?;
-    Some(Told {
+    Some(UpstreamState {
         role: row.map(|row| row.role),
         term: row.map_or(received.term, |row| row.term),
         received,
@@ -50,7 +50,7 @@
 /// Takes in what a replica has received and whether a leader of a later term exists; lifts a fence
 /// that was left behind.
 pub(super) async fn observe(node: &Rc<Node>, service: &Service, upstream: &Upstream) {
-    let Some(told) = tell(node, upstream, Command::Status).await else {
+    let Some(told) = query_state(node, upstream, Command::Status).await else {
         return;
     };
     let fenced = told.fence > Term::default();
@@ -71,7 +71,7 @@
 
 /// Lets a replica receive again.
 pub(super) async fn unfence(node: &Rc<Node>, service: &Service, upstream: &Upstream) {
-    let told = tell(node, upstream, Command::Unfence).await;
+    let told = query_state(node, upstream, Command::Unfence).await;
     info!(node.log, "fence lifted"; "event" => "fence", "service" => %service,
         "upstream" => %upstream, "answered" => told.is_some());
 }
--- a/chervildrift/src/relay/succession.rs
+++ b/chervildrift/src/relay/succession.rs
@@ -12,7 +12,7 @@
 
 use super::clock;
 use super::node::Node;
-use super::replicas::{Told, tell, unfence};
+use super::replicas::{UpstreamState, query_state, unfence};
 
 /// Time for which a replica that has more than all others and does not answer is waited for; a link
 /// that is restored or a process that was restarted takes about as long.
@@ -38,7 +38,7 @@
 }
 
 /// A replica and what it told.
-type Answer = (Upstream, Told);
+type Answer = (Upstream, UpstreamState);
 
 /// What the replicas told before any of them was fenced.
 struct Survey {
@@ -190,7 +190,7 @@
                 break;
             }
             sleep(CATCH_UP_PAUSE).await;
-            if let Some(told) = tell(self.node, chosen, Command::Status).await {
+            if let Some(told) = query_state(self.node, chosen, Command::Status).await {
                 fenced.chosen = told.received;
             }
         }
@@ -218,7 +218,7 @@
 
     async fn ask(&self, upstreams: &[Upstream], command: Command<'_>) -> Vec<Answer> {
         let asked = upstreams.iter().map(|upstream| async move {
-            let told = tell(self.node, upstream, command).await?;
+            let told = query_state(self.node, upstream, command).await?;
             Some((upstream.clone(), told))
         });
         join_all(asked).await.into_iter().flatten().collect()
