--- a/chervildrift/src/relay/confirm.rs
+++ b/chervildrift/src/relay/confirm.rs
@@ -112,8 +112,7 @@
 async fn ask_replicas(node: &Rc<Node>, commit: &Commit<'_>, rounds: u32) {
     let mut replicas: Vec<(Duration, Upstream)> = {
         let directory = node.directory.borrow();
-        let entries = directory.of(commit.service);
-        let replicas = entries.filter(|it| it.upstream != *commit.leader);
+        let replicas = directory.replicas(commit.service, Some(commit.leader));
         replicas
             .filter_map(|it| {
                 let pool = node.pool(&it.upstream)?;
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -123,8 +123,12 @@
         let names: Vec<Upstream> = entries.iter().map(|it| it.upstream.clone()).collect();
         self.directory.borrow_mut().retain(clock::now(), &names);
         for entry in entries {
-            let known = self.directory.borrow().get(&entry.upstream).cloned();
-            if known.is_none_or(|known| known.version <= entry.version) {
+            let known = self
+                .directory
+                .borrow()
+                .get(&entry.upstream)
+                .map(|it| it.version);
+            if known.is_none_or(|known| known <= entry.version) {
                 self.take_entry(entry);
             }
         }
--- a/chervildrift/src/relay/presence.rs
+++ b/chervildrift/src/relay/presence.rs
@@ -86,8 +86,7 @@
         let leader = node.with_group(&service, |group| group.leader().cloned());
         let others: Vec<Upstream> = {
             let directory = node.directory.borrow();
-            let entries = directory.of(&service);
-            let entries = entries.filter(|it| Some(&it.upstream) != leader.as_ref());
+            let entries = directory.replicas(&service, leader.as_ref());
             entries.map(|it| it.upstream.clone()).collect()
         };
         for upstream in others {
--- a/chervildrift/src/relay/succession.rs
+++ b/chervildrift/src/relay/succession.rs
@@ -200,9 +200,7 @@
     /// Returns all upstreams but the leader.
     fn replicas(&self) -> Vec<Upstream> {
         let directory = self.node.directory.borrow();
-        let others = directory
-            .of(self.service)
-            .filter(|it| self.leader != Some(&it.upstream));
+        let others = directory.replicas(self.service, self.leader);
         others.map(|it| it.upstream.clone()).collect()
     }
 
--- a/chervildrift_core/src/relay/directory.rs
+++ b/chervildrift_core/src/relay/directory.rs
@@ -149,6 +149,16 @@
         self.iter().filter(move |entry| entry.service == *service)
     }
 
+    /// Returns the entries of a service but that of its leader.
+    pub fn replicas<'a>(
+        &'a self,
+        service: &'a Service,
+        leader: Option<&'a Upstream>,
+    ) -> impl Iterator<Item = &'a Entry> {
+        self.of(service)
+            .filter(move |entry| leader != Some(&entry.upstream))
+    }
+
     /// Returns the upstream of a service that last reported itself as primary.
     #[must_use]
     pub fn reported_primary<'a>(&'a self, service: &'a Service) -> Option<&'a Entry> {
