Let more connections wait at the listeners

A trace of the test beside 18 busy loops shows the flood taking 1,016 to 1,046 ms with 153 crowded and 47 late connections: the listening socket of the standard library holds 128, the kernel drops the opening packets beyond and they come again after a second, when the first ones are late. A member's connection is delayed in the same way. Ruled out: connections dropped by a full queue of the peer threads (crowded and late add up to 200). Change: one function binds the listeners of peers, callers and operators with a backlog of 1,024. The test is split, with no dependence on how fast the flood opens: half_open_flood has a hello limit of 60 s and needs 176 crowded ones (168 before) and none late; late_hello needs all 200 closed and counted. listen_backlog opens 400 connections that nobody accepts. Conclusion: a fault of the listener, found by a test that also depended on timing.

--- a/chervildrift/src/http/callers.rs
+++ b/chervildrift/src/http/callers.rs
@@ -1,6 +1,6 @@
 //! Listener for callers.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::thread;
@@ -19,6 +19,7 @@
 use super::answer::respond;
 use super::gate::Gate;
 use super::{Credentials, Error, Stopper, body, request};
+use crate::listen;
 use crate::work::{Answer, Call, Problem, ProblemKind, RequestId};
 
 /// Longest wait for an answer, above the longest deadline of any kind of work.
@@ -59,7 +60,7 @@
     submit: Submit,
 ) -> Result<CallersHandle, Error> {
     let failed = |err| Error::Bind(settings.listen, err);
-    let listener = TcpListener::bind(settings.listen).map_err(failed)?;
+    let listener = listen::bind(settings.listen).map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
     let receive = Duration::from_millis(settings.receive_ms);
     let shared = Arc::new(Shared {
--- a/chervildrift/src/http/operators.rs
+++ b/chervildrift/src/http/operators.rs
@@ -1,6 +1,6 @@
 //! Listener for operators: metrics, liveness and readiness.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
 
@@ -12,6 +12,7 @@
 use xitca_web::route::get;
 
 use super::{Error, Stopper};
+use crate::listen;
 
 /// What the listener shows, as functions of the event loop's side.
 #[derive(derive_more::Debug)]
@@ -48,9 +49,9 @@
 }
 
 /// Opens the listener.
-pub fn bind(listen: SocketAddr, probe: Probe) -> Result<OperatorsHandle, Error> {
-    let failed = |err| Error::Bind(listen, err);
-    let listener = TcpListener::bind(listen).map_err(failed)?;
+pub fn bind(address: SocketAddr, probe: Probe) -> Result<OperatorsHandle, Error> {
+    let failed = |err| Error::Bind(address, err);
+    let listener = listen::bind(address).map_err(failed)?;
     let address = listener.local_addr().map_err(failed)?;
     let mut server = App::new()
         .with_state(Arc::new(probe))
--- a/chervildrift/src/lib.rs
+++ b/chervildrift/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod explain;
 pub mod gossip;
 pub mod http;
+pub mod listen;
 pub mod logs;
 pub mod metrics;
 pub mod peer;
--- a/chervildrift/src/peer/mod.rs
+++ b/chervildrift/src/peer/mod.rs
@@ -60,13 +60,14 @@
 pub use self::message::{Inbound, Reply, Request, State, Statement};
 pub use self::options::{Limits, Options};
 use self::thread::Door;
+use crate::listen;
 
 /// Calls that wait for a peer thread.
 const COMMANDS: usize = 16_384;
 
 /// Binds the listener and starts the peer threads; calls of peers arrive on `inbound`.
 pub fn bind(options: Options, inbound: mpsc::Sender<Inbound>) -> Result<Handle, Error> {
-    let listener = TcpListener::bind(options.address).map_err(bind_error)?;
+    let listener = listen::bind(options.address).map_err(bind_error)?;
     listener.set_nonblocking(true).map_err(bind_error)?;
     let address = listener.local_addr().map_err(bind_error)?;
     let seed = Seed {
--- /dev/null
+++ b/chervildrift/tests/listen_backlog.rs
@@ -0,0 +1,38 @@
+//! Listening sockets under many connections at once.
+
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use chervildrift::listen;
+
+/// Connections that nobody accepts; the backlog of the standard library is 128.
+const CONNECTIONS: usize = 400;
+
+/// Time for one connection on loopback, below the second after which a dropped one is repeated.
+const CONNECT: Duration = Duration::from_millis(900);
+
+/// Guards against connections that are dropped while the accepting thread is busy.
+#[test]
+fn burst_waits() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = listen::bind(any).unwrap();
+    let address = listener.local_addr().unwrap();
+    let open: Vec<TcpStream> = (0..CONNECTIONS)
+        .map(|_| TcpStream::connect_timeout(&address, CONNECT).unwrap())
+        .collect();
+    assert_eq!(open.len(), CONNECTIONS);
+}
+
+/// Guards against a restart that can't bind the address while old connections linger.
+#[test]
+fn address_again() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = listen::bind(any).unwrap();
+    let address = listener.local_addr().unwrap();
+    let client = TcpStream::connect(address).unwrap();
+    // The side that closes first keeps the address in use for a while.
+    drop(listener.accept().unwrap());
+    drop(client);
+    drop(listener);
+    listen::bind(address).unwrap();
+}
--- a/chervildrift/tests/peer_faults.rs
+++ b/chervildrift/tests/peer_faults.rs
@@ -6,8 +6,10 @@
 use std::net::TcpListener;
 use std::time::{Duration, Instant};
 
-use chervildrift::peer::{Error, Limits, Options, State};
+use chervildrift::peer::{Error, Handle, Limits, Options, State};
 use support::{KEY, address, bind, caller, forwarded, options, request, serve, within};
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpStream;
 
 /// Longest time until a dead or frozen peer is noticed.
 const DETECTION: Duration = Duration::from_secs(1);
@@ -102,12 +104,37 @@
     assert_eq!(after.unwrap_err(), refused);
 }
 
-/// Guards against a flood of silent connections that keeps members out or stays open.
-#[tokio::test]
-async fn half_open_flood() {
+/// Silent connections of a flood.
+const FLOOD: u64 = 200;
+
+/// Connections of one thread that may be half open.
+const HALF_OPEN: usize = 8;
+
+/// Opens silent connections, then makes a call as a member.
+async fn flood(server: &Handle) -> Vec<TcpStream> {
+    let mut flood = Vec::new();
+    for _ in 0..FLOOD {
+        flood.push(TcpStream::connect(server.address()).await.unwrap());
+    }
+    let client = caller();
+    let reply = client.forward(server.address(), request("k"), within(2000));
+    assert_eq!(reply.await.unwrap().state, State::Done);
+    flood
+}
+
+/// Tells whether a silent connection is closed in time.
+async fn closes(silent: &mut TcpStream) -> bool {
+    let mut byte = [0];
+    match tokio::time::timeout(DETECTION, silent.read(&mut byte)).await {
+        Ok(read) => !matches!(read, Ok(1..)),
+        Err(_) => false,
+    }
+}
+
+fn flooded(hello: Duration) -> Handle {
     let (server, mut inbound) = bind(limited(Limits {
-        half_open: 8,
-        hello: Duration::from_millis(300),
+        half_open: HALF_OPEN,
+        hello,
         ..Limits::default()
     }));
     tokio::spawn(async move {
@@ -115,25 +142,37 @@
             support::answer(call);
         }
     });
-    let mut flood = Vec::new();
-    for _ in 0..200 {
-        flood.push(
-            tokio::net::TcpStream::connect(server.address())
-                .await
-                .unwrap(),
-        );
+    server
+}
+
+/// Guards against a flood of silent connections that keeps members out, before any is late.
+#[tokio::test]
+async fn half_open_flood() {
+    let server = flooded(Duration::from_secs(60));
+    let mut flood = flood(&server).await;
+    let limit = (HALF_OPEN * Limits::default().threads) as u64;
+    for silent in flood.iter_mut().take((FLOOD - limit) as usize) {
+        assert!(closes(silent).await);
     }
-    let client = caller();
-    let reply = client.forward(server.address(), request("k"), within(2000));
-    assert_eq!(reply.await.unwrap().state, State::Done);
-    let mut byte = [0];
-    for mut silent in flood {
-        let closed = tokio::io::AsyncReadExt::read(&mut silent, &mut byte);
-        let read = tokio::time::timeout(DETECTION, closed).await.unwrap();
-        assert!(!matches!(read, Ok(1..)));
+    assert!(server.counts().crowded.get() >= FLOOD - limit);
+    assert_eq!(server.counts().late.get(), 0);
+}
+
+/// Guards against silent connections that stay open.
+#[tokio::test]
+async fn late_hello() {
+    let server = flooded(Duration::from_millis(300));
+    for silent in &mut flood(&server).await {
+        assert!(closes(silent).await);
+    }
+    let counts = server.counts();
+    let waited = Instant::now();
+    // A connection is closed just before it is counted.
+    while counts.crowded.get() + counts.late.get() < FLOOD {
+        assert!(waited.elapsed() < DETECTION);
+        tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    assert!(server.counts().crowded.get() >= 200 - 8 * 4);
-    assert!(server.counts().late.get() > 0);
+    assert!(counts.late.get() > 0);
 }
 
 /// Guards against calls that pile up behind a slow peer.
