--- a/chervildrift/src/relay/claims.rs
+++ b/chervildrift/src/relay/claims.rs
@@ -1,11 +1,11 @@
 //! Claims of services, by which one VM at a time may order promotions.
 //!
-//! A claim is a record in the platform's store with a fencing token that only rises, written under
-//! the condition that the last one is unchanged.
+//! A claim is a record in the platform's store with a number that only rises, written under the
+//! condition that the last one is unchanged.
 
 use std::time::Duration;
 
-use chervildrift_core::relay::Claim;
+use chervildrift_core::relay::{Authority, Claim};
 use chervildrift_core::types::{Service, Vm};
 use chervildrift_platform::store::{Error, Listing, Transaction, Written};
 use serde::Serialize;
@@ -27,7 +27,7 @@
     format!("claim/{service}")
 }
 
-/// Raises the fencing token of a service; false if another VM was first.
+/// Raises the number in a service's record; false if another VM was first.
 pub(super) async fn take_claim(
     node: &Node,
     service: &Service,
@@ -59,7 +59,7 @@
                 "token" => claim.token);
             node.claims
                 .borrow_mut()
-                .insert(service.clone(), claim.token);
+                .insert(service.clone(), Authority::open(claim.token));
         }
         return Ok(taken);
     }
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
+use chervildrift_core::relay::{Authority, Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
 use chervildrift_core::types::{Service, Time, Upstream, Vm};
 use chervildrift_platform::promotion::{Error as OrderError, Promotions};
 use chervildrift_platform::store::{Error, Listing, Transaction};
@@ -29,6 +29,9 @@
 /// Interval at which a vote is renewed.
 const VOTE_RENEWAL: Duration = Duration::from_secs(1);
 
+/// Time for which earlier orders are revoked; the platform may leave several without an answer.
+const REVOKE_LIMIT: Duration = Duration::from_secs(5);
+
 /// Pause before another try of an order, and between two looks while the store is away.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -146,7 +149,7 @@
                     at: records.listing.now_ms,
                 };
                 if take_claim(self.node, self.service, &claim, version).await? {
-                    self.promote(promotions, token, asked + ORDER_LIMIT).await;
+                    self.promote(promotions, asked + ORDER_LIMIT).await;
                 }
                 Ok(POLL)
             }
@@ -196,12 +199,10 @@
         self.ordered.is_some_and(|at| now.since(at) < ORDER_PAUSE)
     }
 
-    /// Orders a promotion under a token that this VM holds already, if the others agree.
+    /// Orders a promotion under a claim that this VM holds already, if the others agree.
     async fn step_without_store(&mut self, promotions: &Promotions) {
-        let Some(token) = self.node.claims.borrow().get(self.service).copied() else {
-            return;
-        };
-        if self.has_ordered() {
+        let claimed = self.node.claims.borrow().contains_key(self.service);
+        if !claimed || self.has_ordered() {
             return;
         }
         if !self.planned {
@@ -213,13 +214,14 @@
             }
         }
         let end = clock::now() + ORDER_LIMIT;
-        self.promote(promotions, token, end).await;
+        self.promote(promotions, end).await;
     }
 
-    /// Orders promotions under a token until one is taken or refused, for as long as the leader has to
-    /// be replaced and no other VM may claim the service.
-    async fn promote(&mut self, promotions: &Promotions, token: u64, end: Time) {
+    /// Orders promotions until one is taken or refused, for as long as the leader has to be replaced
+    /// and no other VM may claim the service.
+    async fn promote(&mut self, promotions: &Promotions, end: Time) {
         let mut chosen = None;
+        let mut unanswered = None;
         while self.is_due() && clock::now() < end {
             if chosen.is_none() {
                 chosen = self.succession.settle().await;
@@ -228,37 +230,79 @@
                 sleep(PAUSE).await;
                 continue;
             };
-            match self.order(promotions, target, token).await {
+            match self.order(promotions, target, "promotion ordered").await {
                 Ok(()) => {
                     self.ordered = Some(clock::now());
                     return;
                 }
                 Err(OrderError::Conflict | OrderError::Rejected(_)) => {
                     self.succession.note_order(None);
-                    self.node.claims.borrow_mut().remove(self.service);
                     break;
                 }
-                Err(_) => {
+                Err(err) => {
+                    if err == OrderError::NoAnswer {
+                        unanswered.clone_from(&chosen);
+                    }
                     self.succession.note_order(Some(target));
                     sleep(PAUSE).await;
                 }
             }
         }
+        if let Some(target) = unanswered {
+            self.revoke(promotions, &target).await;
+        }
         self.succession.release().await;
     }
 
-    /// Orders a promotion once.
+    /// Makes sure that an order without an answer is not carried out later, if another upstream than
+    /// its target leads after all.
+    ///
+    /// An order that names the present leader changes nothing and outdates the fencing tokens of all
+    /// earlier ones.
+    async fn revoke(&self, promotions: &Promotions, target: &Upstream) {
+        let end = clock::now() + REVOKE_LIMIT;
+        loop {
+            let now = clock::now();
+            let leader = self.node.with_group(self.service, |group| {
+                group
+                    .trusted(now)
+                    .filter(|leader| *leader != target)
+                    .cloned()
+            });
+            let Some(leader) = leader else {
+                return;
+            };
+            if now >= end {
+                warn!(self.node.log, "order not revoked"; "event" => "failover",
+                    "service" => %self.service, "upstream" => %target, "leader" => %leader);
+                return;
+            }
+            match self.order(promotions, &leader, "order revoked").await {
+                Ok(()) | Err(OrderError::Conflict | OrderError::Rejected(_)) => return,
+                Err(_) => sleep(PAUSE).await,
+            }
+        }
+    }
+
+    /// Gives an order once, under the next fencing token of the claim; a refusal ends the claim.
     async fn order(
         &self,
         promotions: &Promotions,
         target: &Upstream,
-        token: u64,
+        message: &'static str,
     ) -> Result<(), OrderError> {
         let vm = &self.node.settings.vm;
+        let claimed = self
+            .node
+            .claims
+            .borrow_mut()
+            .get_mut(self.service)
+            .and_then(Authority::next_token);
+        // Another VM has claimed the service meanwhile.
+        let token = claimed.ok_or(OrderError::Conflict)?;
         let order = promotions.promote(self.service, target, vm, token).await;
-        info!(self.node.log, "promotion ordered"; "event" => "failover",
-            "service" => %self.service, "upstream" => %target, "token" => token,
-            "replaces" => self.leader.map(Upstream::as_str),
+        info!(self.node.log, "{}", message; "event" => "failover", "service" => %self.service,
+            "upstream" => %target, "token" => token, "replaces" => self.leader.map(Upstream::as_str),
             "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
         let outcome = match &order {
             Ok(()) => "taken",
@@ -266,6 +310,9 @@
             Err(_) => "failed",
         };
         self.node.metrics.ordered(self.service, outcome);
+        if let Err(OrderError::Conflict | OrderError::Rejected(_)) = order {
+            self.node.claims.borrow_mut().remove(self.service);
+        }
         order
     }
 }
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -9,7 +9,7 @@
 
 use chervildrift_core::config::RelaySettings;
 use chervildrift_core::relay::{
-    Code, Directory, Entry, Group, Peer, RouteTable, Routes, links_each, policy,
+    Authority, Code, Directory, Entry, Group, Peer, RouteTable, Routes, links_each, policy,
 };
 use chervildrift_core::types::{Mark, Service, Time, Upstream, Zone};
 use chervildrift_platform::promotion::Promotions;
@@ -62,8 +62,8 @@
     pub vms: Cell<usize>,
     /// Since when calls to the store have failed.
     pub lost: Cell<Option<Time>>,
-    /// Fencing tokens of the services that this VM may order promotions of.
-    pub claims: RefCell<HashMap<Service, u64>>,
+    /// Services that this VM may order promotions of.
+    pub claims: RefCell<HashMap<Service, Authority>>,
     /// Sessions that are open.
     pub sessions: Cell<usize>,
     /// Connections that this VM carries to upstreams for others.
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -282,3 +282,52 @@
     let received = fleet.platform.database.lengths();
     assert_eq!(received[3 - primary], received[primary], "{received:?}");
 }
+
+/// Guards against an order without an answer that is carried out after the old primary has come back,
+/// which rolls back what it has acknowledged since.
+#[tokio::test(flavor = "multi_thread")]
+async fn revoked_order() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let database = &fleet.platform.database;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    database.delay_orders(2, Duration::from_secs(3));
+    database.set_dark(0, true);
+    await_true("order", async || fleet.vms[0].logged("promotion ordered")).await;
+    database.set_dark(0, false);
+    let ordered = Instant::now();
+    let mut round = 1;
+    while ordered.elapsed() < Duration::from_secs(4) {
+        round += 1;
+        let answer = session.run(&format!("WRITE x {round}")).await;
+        assert!(answer.is_signed(), "{answer:?}");
+    }
+    assert_eq!(database.primary(), Some(0));
+    assert_eq!(database.value("x"), Some(round.to_string()));
+    assert!(database.fenced().is_empty());
+}
+
+/// Guards against an order without an answer that is carried out after a later one of the same claim,
+/// while the store is away and nobody can claim anew.
+#[tokio::test(flavor = "multi_thread")]
+async fn repeated_order() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let database = &fleet.platform.database;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    await_true("claim", async || fleet.vms[0].logged("service claimed")).await;
+    fleet.platform.store.set_down(true);
+    database.delay_orders(1, Duration::from_secs(7));
+    database.set_dark(0, true);
+    await_true("second primary", async || database.primary() != Some(0)).await;
+    let second = database.primary().expect("a primary");
+    assert!(session.run("WRITE x 2").await.is_signed());
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    database.set_dark(0, false);
+    database.set_dark(second, true);
+    await_true("third primary", async || database.primary() != Some(second)).await;
+    let third = database.primary();
+    database.set_dark(second, false);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert_eq!(database.primary(), third);
+}
--- a/chervildrift/tests/relayed/mod.rs
+++ b/chervildrift/tests/relayed/mod.rs
@@ -173,6 +173,11 @@
         lines.collect()
     }
 
+    /// Tells whether a line with this message has been logged.
+    pub fn logged(&self, message: &str) -> bool {
+        self.log().iter().any(|line| line["msg"] == message)
+    }
+
     /// Opens a session.
     pub async fn session(&self, database: &str) -> Session {
         let mut session = Session::connect(self.callers).await;
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -2,7 +2,8 @@
 //!
 //! Nobody reports a dead leader. A VM that suspects one says so in the platform's store; a majority
 //! of the VMs that run must agree, since a leader may be cut off from some VMs only. Whoever then
-//! raises the fencing token in the service's record by a conditional write may order a promotion.
+//! raises the number in the service's record by a conditional write may order promotions, whose
+//! fencing tokens follow from it.
 
 use std::time::Duration;
 
@@ -44,7 +45,8 @@
     pub vm: Vm,
     /// Start of its process, which tells apart two processes of one VM.
     pub boot: u64,
-    /// Fencing token; a greater one belongs to a later claim.
+    /// Number of the claim, which its fencing tokens begin with; a greater one belongs to a later
+    /// claim.
     pub token: u64,
     /// Leader that is to be replaced, if one is known.
     pub replaces: Option<Upstream>,
@@ -52,6 +54,38 @@
     pub at: u64,
 }
 
+/// Fencing tokens of one claim; more orders than any failover gives, and both parts of a token stay
+/// exact in 53 bits.
+const TOKENS_PER_CLAIM: u64 = 1 << 20;
+
+/// The right to order promotions of a service, under a claim.
+///
+/// Each order has a fencing token of its own, so that one which was left without an answer can't be
+/// carried out after a later one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Authority {
+    claim: u64,
+    orders: u64,
+}
+
+impl Authority {
+    /// Opens the authority of a claim, by the token of its record.
+    #[must_use]
+    pub const fn open(claim: u64) -> Self {
+        Self { claim, orders: 0 }
+    }
+
+    /// Returns the fencing token of the next order, or none once the claim has to be renewed.
+    pub const fn next_token(&mut self) -> Option<u64> {
+        if self.orders == TOKENS_PER_CLAIM {
+            return None;
+        }
+        let token = self.claim * TOKENS_PER_CLAIM + self.orders;
+        self.orders += 1;
+        Some(token)
+    }
+}
+
 /// What a VM does about a leader that is to be replaced.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stance {
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -24,7 +24,7 @@
 pub use self::choice::{Candidate, choose};
 pub use self::code::Code;
 pub use self::directory::{Directory, Entry};
-pub use self::election::{Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
+pub use self::election::{Authority, Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
 pub use self::group::{Confirmation, Floor, Group, Own};
 pub use self::links::LinkLimit;
 pub use self::membership::{Presence, links_each, live};
--- a/chervildrift_core/tests/relay_elections.rs
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Case, Claim, Stance, Vote, stance};
+use chervildrift_core::relay::{Authority, Case, Claim, Stance, Vote, stance};
 use chervildrift_core::types::{Upstream, Vm};
 use proptest::prelude::*;
 
@@ -153,3 +153,24 @@
         }
     }
 }
+
+/// Guards against two orders under one fencing token, of which the earlier one may come later.
+#[test]
+fn order_tokens() {
+    let mut first = Authority::open(4);
+    let mut tokens: Vec<u64> = (0..50).filter_map(|_| first.next_token()).collect();
+    let mut second = Authority::open(5);
+    tokens.extend((0..50).filter_map(|_| second.next_token()));
+    assert_eq!(tokens.len(), 100);
+    assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:?}");
+}
+
+/// Guards against an authority whose tokens run into those of the next claim.
+#[test]
+fn bounded_tokens() {
+    let mut authority = Authority::open(1);
+    let last = std::iter::from_fn(|| authority.next_token()).last();
+    let next = Authority::open(2).next_token();
+    assert!(last < next, "{last:?} {next:?}");
+    assert_eq!(authority.next_token(), None);
+}
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -72,6 +72,8 @@
     lag: Duration,
     lost_answers: u32,
     ignored_orders: u32,
+    /// Orders that are carried out late, and how late.
+    late_orders: (u32, Duration),
     runs: Vec<Run>,
     next: u64,
     sequence: u64,
@@ -112,6 +114,7 @@
                 lag: options.lag,
                 lost_answers: 0,
                 ignored_orders: 0,
+                late_orders: (0, Duration::ZERO),
                 runs: Vec::new(),
                 next: 0,
                 sequence: 0,
@@ -209,6 +212,18 @@
         ignored
     }
 
+    /// Leaves the next orders to promote without answer and carries them out after a time.
+    pub fn delay_orders(&self, count: u32, delay: Duration) {
+        self.lock().late_orders = (count, delay);
+    }
+
+    /// Returns how late an order is carried out, if it is.
+    pub(super) fn delays_order(&self) -> Option<Duration> {
+        let (count, delay) = &mut self.lock().late_orders;
+        *count = count.checked_sub(1)?;
+        Some(*delay)
+    }
+
     /// Closes all connections to the databases, as a restart of them does.
     pub fn close_connections(&self) {
         self.lock().closed += 1;
--- a/chervildrift_standin/src/deployment/http.rs
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -75,8 +75,12 @@
             }
             let token = head.headers.get("X-Chervildrift-Fencing-Token");
             let token = token.and_then(|it| it.to_str().ok()?.parse().ok());
-            let id = call["id"].as_str().unwrap_or_default();
-            let accepted = handle.promote(id, token.unwrap_or(0));
+            let (id, token) = (call["id"].as_str().unwrap_or_default(), token.unwrap_or(0));
+            if let Some(delay) = handle.database.delays_order() {
+                handle.promote_late(id, token, delay);
+                std::future::pending::<()>().await;
+            }
+            let accepted = handle.promote(id, token);
             let status = if accepted {
                 StatusCode::OK
             } else {
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -149,4 +149,13 @@
         });
         true
     }
+
+    /// Carries out an order after a time, whoever has given up on it; its token is checked then.
+    fn promote_late(&self, id: &str, token: u64, delay: Duration) {
+        let (handle, id) = (self.clone(), id.to_owned());
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            handle.promote(&id, token);
+        });
+    }
 }
