Give each order its own fencing token, and revoke orders without an answer

Change: the core's Authority gives each order a token of its own and remembers the targets of orders without an answer across claims. While the leader is another one, the VM orders the present leader again, which changes nothing and outdates the earlier tokens, for up to 12 s. The other replicas stay fenced until then, and for the time of a promotion more where commits are acknowledged by replicas.

--- a/chervildrift/src/relay/claims.rs
+++ b/chervildrift/src/relay/claims.rs
@@ -57,9 +57,11 @@
         if taken {
             info!(node.log, "service claimed"; "event" => "claim", "service" => %service,
                 "token" => claim.token);
-            node.claims
-                .borrow_mut()
-                .insert(service.clone(), Authority::open(claim.token));
+            let mut claims = node.claims.borrow_mut();
+            claims
+                .entry(service.clone())
+                .and_modify(|held| held.renew(claim.token))
+                .or_insert_with(|| Authority::open(claim.token));
         }
         return Ok(taken);
     }
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -29,8 +29,9 @@
 /// Interval at which a vote is renewed.
 const VOTE_RENEWAL: Duration = Duration::from_secs(1);
 
-/// Time for which earlier orders are revoked; the platform may leave several without an answer.
-const REVOKE_LIMIT: Duration = Duration::from_secs(5);
+/// Time after which an order without an answer is no longer expected; the platform's pages speak of
+/// seconds.
+const REVOKE_LIMIT: Duration = Duration::from_secs(12);
 
 /// Pause before another try of an order, and between two looks while the store is away.
 const PAUSE: Duration = Duration::from_millis(150);
@@ -57,7 +58,7 @@
     claim: Option<(Claim, u64)>,
 }
 
-/// Replaces a leader, or returns once there is no more reason to.
+/// Replaces a leader until there is no more reason to, and revokes what has been ordered in vain.
 pub(super) async fn run(
     node: &Rc<Node>,
     service: &Service,
@@ -78,8 +79,10 @@
         ordered: None,
         noted: false,
     };
-    info!(node.log, "leader to be replaced"; "event" => "failover", "service" => %service,
-        "leader" => leader.map(Upstream::as_str), "planned" => planned);
+    if replacement.is_due() {
+        info!(node.log, "leader to be replaced"; "event" => "failover", "service" => %service,
+            "leader" => leader.map(Upstream::as_str), "planned" => planned);
+    }
     while replacement.is_due() {
         match replacement.step(&promotions).await {
             Ok(pause) => sleep(pause).await,
@@ -95,9 +98,19 @@
             }
         }
     }
+    replacement.revoke(&promotions).await;
     replacement.succession.release().await;
 }
 
+/// Returns the leader of a service if an order of this VM without an answer may still replace it.
+pub(super) fn threatened(node: &Node, service: &Service) -> Option<Upstream> {
+    let claims = node.claims.borrow();
+    let authority = claims.get(service)?;
+    let now = clock::now();
+    let leader = node.with_group(service, |group| group.trusted(now).cloned());
+    leader.filter(|leader| authority.threatens(leader))
+}
+
 impl Replacement<'_> {
     fn is_due(&self) -> bool {
         let now = clock::now();
@@ -221,7 +234,6 @@
     /// and no other VM may claim the service.
     async fn promote(&mut self, promotions: &Promotions, end: Time) {
         let mut chosen = None;
-        let mut unanswered = None;
         while self.is_due() && clock::now() < end {
             if chosen.is_none() {
                 chosen = self.succession.settle().await;
@@ -239,51 +251,64 @@
                     self.succession.note_order(None);
                     break;
                 }
-                Err(err) => {
-                    if err == OrderError::NoAnswer {
-                        unanswered.clone_from(&chosen);
-                    }
+                Err(_) => {
                     self.succession.note_order(Some(target));
                     sleep(PAUSE).await;
                 }
             }
         }
-        if let Some(target) = unanswered {
-            self.revoke(promotions, &target).await;
+        if !self.succession.has_ordered() {
+            self.succession.release().await;
         }
-        self.succession.release().await;
     }
 
-    /// Makes sure that an order without an answer is not carried out later, if another upstream than
-    /// its target leads after all.
+    /// Makes sure that no order without an answer replaces a leader that works after all.
     ///
     /// An order that names the present leader changes nothing and outdates the fencing tokens of all
-    /// earlier ones.
-    async fn revoke(&self, promotions: &Promotions, target: &Upstream) {
+    /// earlier ones. One that was taken before may still come into force, so that the fences hold for
+    /// the time of a promotion where commits are acknowledged by replicas.
+    async fn revoke(&self, promotions: &Promotions) {
         let end = clock::now() + REVOKE_LIMIT;
-        loop {
-            let now = clock::now();
-            let leader = self.node.with_group(self.service, |group| {
-                group
-                    .trusted(now)
-                    .filter(|leader| *leader != target)
-                    .cloned()
-            });
-            let Some(leader) = leader else {
-                return;
-            };
-            if now >= end {
+        while let Some(leader) = threatened(self.node, self.service) {
+            if clock::now() >= end {
                 warn!(self.node.log, "order not revoked"; "event" => "failover",
-                    "service" => %self.service, "upstream" => %target, "leader" => %leader);
+                    "service" => %self.service, "leader" => %leader);
+                self.with_authority(Authority::settle);
                 return;
             }
             match self.order(promotions, &leader, "order revoked").await {
-                Ok(()) | Err(OrderError::Conflict | OrderError::Rejected(_)) => return,
+                Ok(()) => return self.await_promotion(&leader).await,
+                Err(OrderError::Conflict | OrderError::Rejected(_)) => return,
                 Err(_) => sleep(PAUSE).await,
             }
         }
     }
 
+    /// Waits for the time that a promotion takes, while this leader works.
+    async fn await_promotion(&self, leader: &Upstream) {
+        let rules = self.node.routes.borrow().rules(self.service);
+        if rules.is_none_or(|rules| rules.sync_replicas == 0) {
+            return;
+        }
+        let end = clock::now() + ORDER_PAUSE;
+        let works = || {
+            let now = clock::now();
+            let current = self
+                .node
+                .with_group(self.service, |group| group.trusted(now) == Some(leader));
+            current && now < end
+        };
+        while works() {
+            sleep(PAUSE).await;
+        }
+    }
+
+    fn with_authority(&self, change: impl FnOnce(&mut Authority)) {
+        if let Some(authority) = self.node.claims.borrow_mut().get_mut(self.service) {
+            change(authority);
+        }
+    }
+
     /// Gives an order once, under the next fencing token of the claim; a refusal ends the claim.
     async fn order(
         &self,
@@ -310,8 +335,14 @@
             Err(_) => "failed",
         };
         self.node.metrics.ordered(self.service, outcome);
-        if let Err(OrderError::Conflict | OrderError::Rejected(_)) = order {
-            self.node.claims.borrow_mut().remove(self.service);
+        match &order {
+            Ok(()) => self.with_authority(Authority::settle),
+            Err(OrderError::NoAnswer) => self.with_authority(|it| it.note_unanswered(target)),
+            Err(OrderError::Conflict | OrderError::Rejected(_)) => {
+                self.node.claims.borrow_mut().remove(self.service);
+            }
+            // Nothing was sent or taken.
+            Err(OrderError::Unavailable | OrderError::Setup(_)) => {}
         }
         order
     }
--- a/chervildrift/src/relay/keeper.rs
+++ b/chervildrift/src/relay/keeper.rs
@@ -91,7 +91,7 @@
     }
     let leaves = |leader: &Upstream| node.directory.borrow().leaves(now, leader);
     let planned = leader.as_ref().is_some_and(leaves);
-    if planned || suspected {
+    if planned || suspected || failover::threatened(node, service).is_some() {
         replace(node, running, service, leader, planned);
     }
 }
--- a/chervildrift/src/relay/succession.rs
+++ b/chervildrift/src/relay/succession.rs
@@ -155,6 +155,11 @@
         self.ordered = upstream.cloned();
     }
 
+    /// Tells whether a promotion was ordered that may still come.
+    pub(super) const fn has_ordered(&self) -> bool {
+        self.ordered.is_some()
+    }
+
     /// Lets the fenced replicas receive again: there is a new leader, or none comes of this round.
     pub(super) async fn release(&mut self) {
         self.fenced.sort();
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -331,3 +331,27 @@
     tokio::time::sleep(Duration::from_secs(4)).await;
     assert_eq!(database.primary(), third);
 }
+
+/// Guards against orders without an answer that are carried out after the old primary has come back,
+/// when the time for orders under the claim is over by then.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_return() {
+    let fleet = Fleet::spawn(2, &Options::default()).await;
+    let database = &fleet.platform.database;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    database.delay_orders(100, Duration::from_secs(8));
+    database.set_dark(0, true);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    database.set_dark(0, false);
+    await_true("write", async || {
+        let mut session = fleet.vms[0].session("own").await;
+        session.run("WRITE x 2").await.is_signed()
+    })
+    .await;
+    database.delay_orders(0, Duration::ZERO);
+    tokio::time::sleep(Duration::from_secs(9)).await;
+    assert_eq!(database.primary(), Some(0));
+    assert_eq!(database.value("x").as_deref(), Some("2"));
+    assert!(database.fenced().is_empty());
+}
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use smallvec::SmallVec;
 
 use crate::types::{Upstream, Vm};
 
@@ -62,17 +63,23 @@
 ///
 /// Each order has a fencing token of its own, so that one which was left without an answer can't be
 /// carried out after a later one.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Authority {
     claim: u64,
     orders: u64,
+    /// Targets of orders without an answer, which may still be carried out.
+    unanswered: SmallVec<[Upstream; 2]>,
 }
 
 impl Authority {
     /// Opens the authority of a claim, by the token of its record.
     #[must_use]
-    pub const fn open(claim: u64) -> Self {
-        Self { claim, orders: 0 }
+    pub fn open(claim: u64) -> Self {
+        Self {
+            claim,
+            orders: 0,
+            unanswered: SmallVec::new(),
+        }
     }
 
     /// Returns the fencing token of the next order, or none once the claim has to be renewed.
@@ -84,6 +91,30 @@
         self.orders += 1;
         Some(token)
     }
+
+    /// Goes on under a later claim; orders under the earlier one may still be carried out.
+    pub const fn renew(&mut self, claim: u64) {
+        self.claim = claim;
+        self.orders = 0;
+    }
+
+    /// Notes that an order got no answer.
+    pub fn note_unanswered(&mut self, target: &Upstream) {
+        if !self.unanswered.contains(target) {
+            self.unanswered.push(target.clone());
+        }
+    }
+
+    /// Notes that an order was taken, or that earlier ones are no longer expected.
+    pub fn settle(&mut self) {
+        self.unanswered.clear();
+    }
+
+    /// Tells whether an order may still be carried out that would replace this leader.
+    #[must_use]
+    pub fn threatens(&self, leader: &Upstream) -> bool {
+        self.unanswered.iter().any(|it| it != leader)
+    }
 }
 
 /// What a VM does about a leader that is to be replaced.
--- a/chervildrift_core/tests/relay_elections.rs
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -174,3 +174,20 @@
     assert!(last < next, "{last:?} {next:?}");
     assert_eq!(authority.next_token(), None);
 }
+
+/// Guards against an order that is forgotten when the one which revokes it has no answer either, or
+/// when the claim is renewed.
+#[test]
+fn unanswered_orders() {
+    let (leader, target) = (Upstream::from("a"), Upstream::from("b"));
+    let mut authority = Authority::open(1);
+    assert!(!authority.threatens(&leader));
+    authority.note_unanswered(&target);
+    authority.note_unanswered(&leader);
+    authority.renew(2);
+    assert!(authority.threatens(&leader));
+    authority.settle();
+    assert!(!authority.threatens(&leader));
+    authority.note_unanswered(&target);
+    assert!(!authority.threatens(&target));
+}
