Hold fences until a promotion is in force, and keep orders of lost claims in mind

Change: after an order that was taken the VM waits for its target to lead, 4 s at most, before it lifts the fences. An authority whose claim is lost keeps its orders, those under way included, only to revoke them. Orders end 2 s after their claim and the next claim comes 3 s later. A fence that a VM sees is looked at every second, and counts as another one if 2.5 s pass without a look. Tests: slow_promotion (failed first), lost_claim and unanswered_orders in the core, forgotten_fence.

--- a/chervildrift/src/relay/claims.rs
+++ b/chervildrift/src/relay/claims.rs
@@ -81,8 +81,9 @@
         let version = held.map_or(0, |row| row.version);
         let held: Option<Claim> = held.and_then(|row| decode(row.value.as_deref()));
         let mine = |it: &Claim| it.vm == node.settings.vm && it.boot == node.boot;
-        if !held.as_ref().is_some_and(mine) {
-            node.claims.borrow_mut().remove(&service);
+        if !held.as_ref().is_some_and(mine) && lose_claim(node, &service) {
+            info!(node.log, "claim lost"; "event" => "claim", "service" => %service,
+                "holder" => held.as_ref().map(|it| it.vm.as_str()), "row" => version);
         }
         let spread = chervildrift_core::placement::digest(service.as_str());
         let first = live.get((spread % live.len().max(1) as u64) as usize);
@@ -108,6 +109,19 @@
     }
 }
 
+/// Gives up a claim that another VM holds now; false if this one did not hold it.
+fn lose_claim(node: &Node, service: &Service) -> bool {
+    let mut claims = node.claims.borrow_mut();
+    let Some(authority) = claims.get_mut(service) else {
+        return false;
+    };
+    let lost = authority.is_held();
+    if !authority.lose() {
+        claims.remove(service);
+    }
+    lost
+}
+
 /// Writes a record.
 pub(super) fn encode<T: Serialize>(record: &T) -> Vec<u8> {
     // Records hold names and numbers only.
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -45,8 +45,8 @@
     succession: Succession<'a>,
     started: Time,
     voted: Option<Time>,
-    /// When a promotion was last ordered.
-    ordered: Option<Time>,
+    /// Target of the last order that was taken, and when it was.
+    taken: Option<(Upstream, Time)>,
     /// Whether the loss of the store has been logged.
     noted: bool,
 }
@@ -76,7 +76,7 @@
         succession: Succession::open(node, service, leader, planned),
         started: clock::now(),
         voted: None,
-        ordered: None,
+        taken: None,
         noted: false,
     };
     if replacement.is_due() {
@@ -90,7 +90,7 @@
                 if !replacement.noted {
                     warn!(node.log, "failover without the store"; "event" => "failover",
                         "service" => %service, "error" => %err,
-                        "claimed" => node.claims.borrow().contains_key(service));
+                        "claimed" => replacement.is_claimed());
                     replacement.noted = true;
                 }
                 replacement.step_without_store(&promotions).await;
@@ -99,6 +99,7 @@
         }
     }
     replacement.revoke(&promotions).await;
+    replacement.await_leader().await;
     replacement.succession.release().await;
 }
 
@@ -209,13 +210,27 @@
     /// Tells whether a promotion may be under way.
     fn has_ordered(&self) -> bool {
         let now = clock::now();
-        self.ordered.is_some_and(|at| now.since(at) < ORDER_PAUSE)
+        let last = self.taken.as_ref();
+        last.is_some_and(|(_, at)| now.since(*at) < ORDER_PAUSE)
+    }
+
+    /// Waits until the target of an order that was taken leads, so that the fences hold until then
+    /// even if the old leader works again meanwhile.
+    async fn await_leader(&self) {
+        let leads = || {
+            self.node.with_group(self.service, |group| {
+                let target = self.taken.as_ref().map(|(target, _)| target);
+                group.leader() == target
+            })
+        };
+        while self.has_ordered() && !leads() {
+            sleep(PAUSE).await;
+        }
     }
 
     /// Orders a promotion under a claim that this VM holds already, if the others agree.
     async fn step_without_store(&mut self, promotions: &Promotions) {
-        let claimed = self.node.claims.borrow().contains_key(self.service);
-        if !claimed || self.has_ordered() {
+        if !self.is_claimed() || self.has_ordered() {
             return;
         }
         if !self.planned {
@@ -234,7 +249,7 @@
     /// and no other VM may claim the service.
     async fn promote(&mut self, promotions: &Promotions, end: Time) {
         let mut chosen = None;
-        while self.is_due() && clock::now() < end {
+        while self.is_due() && self.is_claimed() && clock::now() < end {
             if chosen.is_none() {
                 chosen = self.succession.settle().await;
             }
@@ -244,7 +259,7 @@
             };
             match self.order(promotions, target, "promotion ordered").await {
                 Ok(()) => {
-                    self.ordered = Some(clock::now());
+                    self.taken = Some((target.clone(), clock::now()));
                     return;
                 }
                 Err(OrderError::Conflict | OrderError::Rejected(_)) => {
@@ -303,6 +318,12 @@
         }
     }
 
+    /// Tells whether this VM may order promotions of the service.
+    fn is_claimed(&self) -> bool {
+        let claims = self.node.claims.borrow();
+        claims.get(self.service).is_some_and(Authority::is_held)
+    }
+
     fn with_authority(&self, change: impl FnOnce(&mut Authority)) {
         if let Some(authority) = self.node.claims.borrow_mut().get_mut(self.service) {
             change(authority);
@@ -322,9 +343,12 @@
             .claims
             .borrow_mut()
             .get_mut(self.service)
-            .and_then(Authority::next_token);
-        // Another VM has claimed the service meanwhile.
-        let token = claimed.ok_or(OrderError::Conflict)?;
+            .and_then(|authority| authority.begin(target));
+        let Some(token) = claimed else {
+            warn!(self.node.log, "no claim to order under"; "event" => "failover",
+                "service" => %self.service, "upstream" => %target);
+            return Err(OrderError::Conflict);
+        };
         let order = promotions.promote(self.service, target, vm, token).await;
         info!(self.node.log, "{}", message; "event" => "failover", "service" => %self.service,
             "upstream" => %target, "token" => token, "replaces" => self.leader.map(Upstream::as_str),
@@ -337,12 +361,13 @@
         self.node.metrics.ordered(self.service, outcome);
         match &order {
             Ok(()) => self.with_authority(Authority::settle),
-            Err(OrderError::NoAnswer) => self.with_authority(|it| it.note_unanswered(target)),
+            Err(OrderError::NoAnswer) => self.with_authority(Authority::leave_open),
             Err(OrderError::Conflict | OrderError::Rejected(_)) => {
                 self.node.claims.borrow_mut().remove(self.service);
             }
-            // Nothing was sent or taken.
-            Err(OrderError::Unavailable | OrderError::Setup(_)) => {}
+            Err(OrderError::Unavailable | OrderError::Setup(_)) => {
+                self.with_authority(Authority::withdraw);
+            }
         }
         order
     }
--- a/chervildrift/src/relay/replicas.rs
+++ b/chervildrift/src/relay/replicas.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Access, Session};
+use chervildrift_core::relay::{Access, FenceState, Session};
 use chervildrift_core::types::{Mark, Role, Service, Term, Upstream};
 use chervildrift_platform::wire::{Command, parse_status};
+use futures::future::{FutureExt as _, LocalBoxFuture};
 use slog::{info, warn};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::clock;
 use super::keeper::demand;
@@ -17,6 +18,9 @@
 /// Time for an upstream to tell its state.
 const STATUS_LIMIT: Duration = Duration::from_millis(500);
 
+/// Interval at which a fenced replica is looked at.
+const FENCE_LOOK: Duration = Duration::from_secs(1);
+
 /// State of an upstream as it tells it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct UpstreamState {
@@ -49,12 +53,16 @@
 
 /// Takes in what a replica has received and whether a leader of a later term exists; lifts a fence
 /// that was left behind.
-pub(super) async fn observe(node: &Rc<Node>, service: &Service, upstream: &Upstream) {
-    let Some(told) = query_state(node, upstream, Command::Status).await else {
-        return;
-    };
+///
+/// `None` if the replica does not answer.
+pub(super) async fn observe(
+    node: &Rc<Node>,
+    service: &Service,
+    upstream: &Upstream,
+) -> Option<FenceState> {
+    let told = query_state(node, upstream, Command::Status).await?;
     let fenced = told.fence > Term::default();
-    let forgotten = node.with_group(service, |group| {
+    let fence = node.with_group(service, |group| {
         group.note_received(upstream, told.received);
         if told.role == Some(Role::Primary) {
             group.note_term(told.term);
@@ -62,11 +70,38 @@
         group.note_fence(clock::now(), upstream, fenced)
     });
     node.received.notify_waiters();
-    if forgotten {
-        warn!(node.log, "replica left behind a fence"; "event" => "fence",
-            "service" => %service, "upstream" => %upstream, "fence" => %told.fence);
-        unfence(node, service, upstream).await;
+    match fence {
+        FenceState::New => {
+            let (node, service, upstream) = (Rc::clone(node), service.clone(), upstream.clone());
+            tokio::task::spawn_local(watch_fence(node, service, upstream));
+        }
+        FenceState::Forgotten => {
+            warn!(node.log, "replica left behind a fence"; "event" => "fence",
+                "service" => %service, "upstream" => %upstream, "fence" => %told.fence);
+            unfence(node, service, upstream).await;
+        }
+        FenceState::Open | FenceState::Expected => {}
+    }
+    Some(fence)
+}
+
+/// Looks at a fenced replica until it receives again.
+fn watch_fence(
+    node: Rc<Node>,
+    service: Service,
+    upstream: Upstream,
+) -> LocalBoxFuture<'static, ()> {
+    async move {
+        loop {
+            sleep(FENCE_LOOK).await;
+            match observe(&node, &service, &upstream).await {
+                Some(FenceState::Expected) => {}
+                // A fence that is new to this look is watched by a task of its own.
+                Some(FenceState::Open | FenceState::New | FenceState::Forgotten) | None => return,
+            }
+        }
     }
+    .boxed_local()
 }
 
 /// Lets a replica receive again.
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -355,3 +355,28 @@
     assert_eq!(database.value("x").as_deref(), Some("2"));
     assert!(database.fenced().is_empty());
 }
+
+/// Guards against replicas that are not chosen and receive commits of an old primary which works again
+/// before the promotion that was taken comes into force.
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_promotion() {
+    let options = Options {
+        promotion: Duration::from_secs(2),
+        ..Options::default()
+    };
+    let fleet = Fleet::spawn(1, &options).await;
+    let database = &fleet.platform.database;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    database.set_dark(0, true);
+    await_true("order", async || fleet.vms[0].logged("promotion ordered")).await;
+    database.set_dark(0, false);
+    let ordered = Instant::now();
+    while ordered.elapsed() < Duration::from_millis(1_500) {
+        assert_eq!(database.primary(), Some(0));
+        assert_eq!(database.fenced().len(), 1);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    await_true("new primary", async || database.primary() != Some(0)).await;
+    await_true("no fences", async || database.fenced().is_empty()).await;
+}
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -15,15 +15,17 @@
 /// Age from which a vote no longer counts; votes are renewed every second.
 const VOTE_KEPT: Duration = Duration::from_millis(2_500);
 
-/// Time between two claims of different VMs on one service.
-///
-/// It covers an order to the platform and the upstream's start as leader.
-const CLAIM_PAUSE: Duration = Duration::from_secs(4);
-
 /// Time from a claim for which orders are given under it.
+pub const ORDER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time from an order until it is answered or given up, and the upstream has started as leader.
 ///
-/// Another VM may claim a second later, in which the last order is answered or given up.
-pub const ORDER_LIMIT: Duration = Duration::from_secs(3);
+/// The platform's pages speak of some hundred milliseconds for the start.
+const START_LIMIT: Duration = Duration::from_secs(3);
+
+/// Time between two claims of different VMs on one service, so that the second one sees what came of
+/// the first one's orders.
+const CLAIM_PAUSE: Duration = ORDER_LIMIT.saturating_add(START_LIMIT);
 
 /// Time that each VM waits longer than the one before it in the service's order.
 const STAGGER: Duration = Duration::from_millis(300);
@@ -67,6 +69,10 @@
 pub struct Authority {
     claim: u64,
     orders: u64,
+    /// Whether the claim is still the last one, so that promotions may be ordered under it.
+    held: bool,
+    /// Target of an order that is under way.
+    pending: Option<Upstream>,
     /// Targets of orders without an answer, which may still be carried out.
     unanswered: SmallVec<[Upstream; 2]>,
 }
@@ -78,17 +84,20 @@
         Self {
             claim,
             orders: 0,
+            held: true,
+            pending: None,
             unanswered: SmallVec::new(),
         }
     }
 
-    /// Returns the fencing token of the next order, or none once the claim has to be renewed.
-    pub const fn next_token(&mut self) -> Option<u64> {
+    /// Begins an order and returns its fencing token, or none once the claim has to be renewed.
+    pub fn begin(&mut self, target: &Upstream) -> Option<u64> {
         if self.orders == TOKENS_PER_CLAIM {
             return None;
         }
         let token = self.claim * TOKENS_PER_CLAIM + self.orders;
         self.orders += 1;
+        self.pending = Some(target.clone());
         Some(token)
     }
 
@@ -96,24 +105,47 @@
     pub const fn renew(&mut self, claim: u64) {
         self.claim = claim;
         self.orders = 0;
+        self.held = true;
+    }
+
+    /// Notes that another VM has claimed the service; tells whether this one still has orders to
+    /// revoke, under tokens that the other's are greater than.
+    pub fn lose(&mut self) -> bool {
+        self.held = false;
+        self.pending.is_some() || !self.unanswered.is_empty()
+    }
+
+    /// Tells whether promotions may be ordered.
+    #[must_use]
+    pub const fn is_held(&self) -> bool {
+        self.held
+    }
+
+    /// Ends an order that had no effect.
+    pub fn withdraw(&mut self) {
+        self.pending = None;
     }
 
-    /// Notes that an order got no answer.
-    pub fn note_unanswered(&mut self, target: &Upstream) {
-        if !self.unanswered.contains(target) {
-            self.unanswered.push(target.clone());
+    /// Ends an order without an answer, which may still be carried out.
+    pub fn leave_open(&mut self) {
+        if let Some(target) = self.pending.take()
+            && !self.unanswered.contains(&target)
+        {
+            self.unanswered.push(target);
         }
     }
 
-    /// Notes that an order was taken, or that earlier ones are no longer expected.
+    /// Ends an order that was taken, which outdates all earlier ones.
     pub fn settle(&mut self) {
+        self.pending = None;
         self.unanswered.clear();
     }
 
     /// Tells whether an order may still be carried out that would replace this leader.
     #[must_use]
     pub fn threatens(&self, leader: &Upstream) -> bool {
-        self.unanswered.iter().any(|it| it != leader)
+        let mut targets = self.unanswered.iter().chain(&self.pending);
+        targets.any(|it| it != leader)
     }
 }
 
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -35,6 +35,9 @@
 /// within some seconds.
 const FENCE_LIMIT: Duration = Duration::from_secs(8);
 
+/// Time between two looks at a fenced replica from which the fence may be another one.
+const FENCE_GAP: Duration = Duration::from_millis(2_500);
+
 /// A position of the leader's log and when it was asked for.
 #[derive(Clone, Copy, Debug)]
 struct Sample {
@@ -62,6 +65,27 @@
     Superseded,
 }
 
+/// A replica that was seen to be fenced.
+#[derive(Clone, Debug)]
+struct Fence {
+    upstream: Upstream,
+    since: Time,
+    seen: Time,
+}
+
+/// What a look at a replica shows of its fence.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FenceState {
+    /// It receives.
+    Open,
+    /// It was fenced since the last look.
+    New,
+    /// A promotion that would end the fence may still come.
+    Expected,
+    /// The promotion has not come in time, so that the fence has to be lifted.
+    Forgotten,
+}
+
 /// Position that a read needs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Floor {
@@ -88,8 +112,8 @@
     received: Vec<(Upstream, Mark)>,
     /// Newest term of any leader.
     newest: Term,
-    /// Since when replicas have been seen to be fenced under this leader.
-    fenced: Vec<(Upstream, Time)>,
+    /// Replicas that were seen to be fenced under this leader.
+    fenced: Vec<Fence>,
     /// Upstreams that refused to lead, with the version of their entry then.
     refused: Vec<(Upstream, u64)>,
 }
@@ -270,18 +294,39 @@
         self.newest = self.newest.max(term);
     }
 
-    /// Notes whether a replica is fenced; true if a promotion that would end it has not come in time.
-    pub fn note_fence(&mut self, now: Time, upstream: &Upstream, fenced: bool) -> bool {
-        if !fenced {
-            self.fenced.retain(|(name, _)| name != upstream);
-            return false;
+    /// Notes whether a replica is fenced.
+    ///
+    /// A fence that was not looked at for a while may have been lifted and put up again meanwhile.
+    pub fn note_fence(&mut self, now: Time, upstream: &Upstream, fenced: bool) -> FenceState {
+        let known = self.fenced.iter_mut().find(|it| it.upstream == *upstream);
+        match known {
+            _ if !fenced => {
+                self.fenced.retain(|it| it.upstream != *upstream);
+                FenceState::Open
+            }
+            Some(fence) if now.since(fence.seen) < FENCE_GAP => {
+                fence.seen = now;
+                if now.since(fence.since) >= FENCE_LIMIT {
+                    FenceState::Forgotten
+                } else {
+                    FenceState::Expected
+                }
+            }
+            Some(fence) => {
+                fence.since = now;
+                fence.seen = now;
+                FenceState::New
+            }
+            None => {
+                let upstream = upstream.clone();
+                self.fenced.push(Fence {
+                    upstream,
+                    since: now,
+                    seen: now,
+                });
+                FenceState::New
+            }
         }
-        let known = self.fenced.iter().find(|(name, _)| name == upstream);
-        let Some((_, since)) = known else {
-            self.fenced.push((upstream.clone(), now));
-            return false;
-        };
-        now.since(*since) >= FENCE_LIMIT
     }
 
     /// Tells what is known of a commit at the replicas.
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -25,7 +25,7 @@
 pub use self::code::Code;
 pub use self::directory::{Directory, Entry};
 pub use self::election::{Authority, Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
-pub use self::group::{Confirmation, Floor, Group, Own};
+pub use self::group::{Confirmation, FenceState, Floor, Group, Own};
 pub use self::links::LinkLimit;
 pub use self::membership::{Presence, links_each, live};
 pub use self::route::{Consistency, Route, RouteTable, Routes, ServiceRules};
--- a/chervildrift_core/tests/relay_elections.rs
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -158,9 +158,10 @@
 #[test]
 fn order_tokens() {
     let mut first = Authority::open(4);
-    let mut tokens: Vec<u64> = (0..50).filter_map(|_| first.next_token()).collect();
+    let target = Upstream::from("a");
+    let mut tokens: Vec<u64> = (0..50).filter_map(|_| first.begin(&target)).collect();
     let mut second = Authority::open(5);
-    tokens.extend((0..50).filter_map(|_| second.next_token()));
+    tokens.extend((0..50).filter_map(|_| second.begin(&target)));
     assert_eq!(tokens.len(), 100);
     assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:?}");
 }
@@ -169,10 +170,11 @@
 #[test]
 fn bounded_tokens() {
     let mut authority = Authority::open(1);
-    let last = std::iter::from_fn(|| authority.next_token()).last();
-    let next = Authority::open(2).next_token();
+    let target = Upstream::from("a");
+    let last = std::iter::from_fn(|| authority.begin(&target)).last();
+    let next = Authority::open(2).begin(&target);
     assert!(last < next, "{last:?} {next:?}");
-    assert_eq!(authority.next_token(), None);
+    assert_eq!(authority.begin(&target), None);
 }
 
 /// Guards against an order that is forgotten when the one which revokes it has no answer either, or
@@ -182,12 +184,33 @@
     let (leader, target) = (Upstream::from("a"), Upstream::from("b"));
     let mut authority = Authority::open(1);
     assert!(!authority.threatens(&leader));
-    authority.note_unanswered(&target);
-    authority.note_unanswered(&leader);
+    assert!(authority.begin(&target).is_some());
+    authority.leave_open();
+    assert!(authority.begin(&leader).is_some());
+    authority.leave_open();
     authority.renew(2);
     assert!(authority.threatens(&leader));
     authority.settle();
     assert!(!authority.threatens(&leader));
-    authority.note_unanswered(&target);
+    assert!(authority.begin(&target).is_some());
     assert!(!authority.threatens(&target));
+    authority.withdraw();
+    assert!(!authority.threatens(&leader));
+}
+
+/// Guards against promotions under a claim that another VM holds now, and against orders that nobody
+/// revokes since the claim is lost.
+#[test]
+fn lost_claim() {
+    let (leader, target) = (Upstream::from("a"), Upstream::from("b"));
+    let mut authority = Authority::open(1);
+    assert!(!authority.lose());
+    authority.renew(3);
+    assert!(authority.is_held());
+    assert!(authority.begin(&target).is_some());
+    assert!(authority.lose(), "an order is under way");
+    authority.leave_open();
+    assert!(authority.lose());
+    assert!(!authority.is_held());
+    assert!(authority.threatens(&leader));
 }
--- a/chervildrift_core/tests/relay_freshness.rs
+++ b/chervildrift_core/tests/relay_freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervildrift_core::relay::{Confirmation, Floor, Group};
+use chervildrift_core::relay::{Confirmation, FenceState, Floor, Group};
 use chervildrift_core::types::{Mark, Term, Time, Upstream};
 
 const BOUND: Duration = Duration::from_millis(1_500);
@@ -159,11 +159,19 @@
 fn forgotten_fence() {
     let (mut group, _) = led();
     let replica = Upstream::from("b");
-    assert!(!group.note_fence(at(0), &replica, true));
-    assert!(!group.note_fence(at(7_900), &replica, true));
-    assert!(group.note_fence(at(8_000), &replica, true));
-    assert!(!group.note_fence(at(8_100), &replica, false));
-    assert!(!group.note_fence(at(8_200), &replica, true));
+    assert_eq!(group.note_fence(at(0), &replica, true), FenceState::New);
+    for ms in (1_000..7_000).step_by(1_000).chain([7_900]) {
+        let state = group.note_fence(at(ms), &replica, true);
+        assert_eq!(state, FenceState::Expected);
+    }
+    let state = group.note_fence(at(8_000), &replica, true);
+    assert_eq!(state, FenceState::Forgotten);
+    let state = group.note_fence(at(8_100), &replica, false);
+    assert_eq!(state, FenceState::Open);
+    assert_eq!(group.note_fence(at(8_200), &replica, true), FenceState::New);
+    // Nobody looked for 8 s, in which it may have been lifted and put up again.
+    let state = group.note_fence(at(16_300), &replica, true);
+    assert_eq!(state, FenceState::New);
 }
 
 /// Guards against a refusal that an upstream sent before it became leader and that arrives later.
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -87,6 +87,7 @@
     state: Mutex<State>,
     limit: usize,
     sync_replicas: usize,
+    promotion: Duration,
     /// Wakes connections that are to be closed.
     pub(super) closing: Notify,
 }
@@ -106,6 +107,7 @@
         Self {
             limit: options.connections,
             sync_replicas: options.sync_replicas,
+            promotion: options.promotion,
             closing: Notify::new(),
             state: Mutex::new(State {
                 members: (0..options.databases).map(member).collect(),
@@ -173,6 +175,10 @@
         self.sync_replicas
     }
 
+    pub(super) const fn promotion(&self) -> Duration {
+        self.promotion
+    }
+
     /// Sets the term below which a replica receives nothing, or lifts it by 0; returns the newest
     /// term and the fence.
     pub(super) fn fence(&self, member: usize, term: Option<u64>) -> (u64, u64) {
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -18,9 +18,6 @@
 pub use self::database::{Database, Run};
 pub use self::store::Store;
 
-/// Time between an order to promote and the start of the new primary.
-const PROMOTION: Duration = Duration::from_millis(100);
-
 /// Name of the service.
 pub const SERVICE: &str = "ledger";
 
@@ -35,6 +32,8 @@
     pub connections: usize,
     /// Replicas that must have received a commit before it is acknowledged.
     pub sync_replicas: usize,
+    /// Time between an order to promote and the start of the new primary.
+    pub promotion: Duration,
 }
 
 impl Default for Options {
@@ -44,6 +43,7 @@
             lag: Duration::from_millis(20),
             connections: 30,
             sync_replicas: 0,
+            promotion: Duration::from_millis(100),
         }
     }
 }
@@ -143,7 +143,7 @@
         }
         let (handle, id) = (self.clone(), id.to_owned());
         tokio::spawn(async move {
-            tokio::time::sleep(PROMOTION).await;
+            tokio::time::sleep(handle.database.promotion()).await;
             handle.database.promote(&id);
             handle.register();
         });
