Close sessions at a stop once they are quiet, and write the log out at the end

No `stopped` line was ever written: a clone of the logger is kept for breaches of invariants, so the queue of the log was never closed. Ruled out: a statement cut while it ran (it had not been read). Change: a session is closed once nothing has come for 100 ms, or at half of the grace period. The logger of a process is held by a handle that writes the queue when dropped, for 500 ms at most. Tests: running_operation and last_line (failed first); stalled_reader now ends the VM by SIGTERM, within 4 s, instead of killing it.

--- a/chervildrift/src/cli/relay.rs
+++ b/chervildrift/src/cli/relay.rs
@@ -6,13 +6,14 @@
 use chervildrift_core::config::{RelaySettings, check_relay};
 
 use super::Error;
-use crate::{logs, relay};
+use crate::logs::Logs;
+use crate::relay;
 
 /// Runs a relaying VM until it is told to stop.
 pub(super) fn run(config: &Path) -> Result<ExitCode, Error> {
     let settings = read(config)?;
-    let log = logs::open(settings.log, settings.vm.as_str());
-    let graceful = relay::run(settings, config, log)?;
+    let logs = Logs::open(settings.log, settings.vm.as_str());
+    let graceful = relay::run(settings, config, logs.logger().clone())?;
     Ok(if graceful {
         ExitCode::SUCCESS
     } else {
--- a/chervildrift/src/cli/serve.rs
+++ b/chervildrift/src/cli/serve.rs
@@ -9,14 +9,16 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::Error;
-use crate::{logs, serve};
+use crate::logs::Logs;
+use crate::serve;
 
 /// Runs a VM until it is told to stop.
 ///
 /// The first SIGTERM or SIGINT starts a graceful stop, a second one ends the process at once.
 pub(super) fn run(config: &Path, record: Option<&Path>) -> Result<ExitCode, Error> {
     let settings = read(config)?;
-    let log = logs::open(settings.log, settings.vm.as_str());
+    let logs = Logs::open(settings.log, settings.vm.as_str());
+    let log = logs.logger();
     let handle = serve::spawn(settings, record, log.clone())?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let graceful = runtime.block_on(async {
--- a/chervildrift/src/logs/mod.rs
+++ b/chervildrift/src/logs/mod.rs
@@ -1,34 +1,74 @@
 //! Loggers for people and for machines.
 
-use std::sync::{OnceLock, PoisonError, RwLock};
+use std::sync::{OnceLock, PoisonError, RwLock, mpsc};
+use std::thread;
+use std::time::Duration;
 
 use chervildrift_core::config::{Log, LogFormat, LogLevel};
 use chervildrift_core::invariant;
 use slog::{Drain, Level, Logger, o};
+use slog_async::{Async, AsyncGuard};
 
 static BREACHES: OnceLock<RwLock<Logger>> = OnceLock::new();
 
-/// Opens the logger of the process and reports breaches of invariants to it.
-pub fn open(settings: Log, vm: &str) -> Logger {
-    let drain = match settings.format {
-        LogFormat::Json => json(),
-        LogFormat::Terminal => terminal(),
-    };
-    let drain = drain.filter_level(level(settings.level)).fuse();
-    let logger = Logger::root(drain, o!("vm" => vm.to_owned()));
-    report_breaches(&logger);
-    logger
+/// Time for the lines that are queued when the process ends; a reader that has stopped takes none.
+const FLUSH_LIMIT: Duration = Duration::from_millis(500);
+
+/// Logger of the process, whose queued lines are written when it is dropped.
+#[derive(derive_more::Debug)]
+pub struct Logs {
+    logger: Logger,
+    #[debug(skip)]
+    guard: Option<AsyncGuard>,
+}
+
+impl Logs {
+    /// Opens the logger of the process and reports breaches of invariants to it.
+    #[must_use]
+    pub fn open(settings: Log, vm: &str) -> Self {
+        let (drain, guard) = match settings.format {
+            LogFormat::Json => json(),
+            LogFormat::Terminal => terminal(),
+        };
+        let drain = drain.filter_level(level(settings.level)).fuse();
+        let logger = Logger::root(drain, o!("vm" => vm.to_owned()));
+        report_breaches(&logger);
+        Self {
+            logger,
+            guard: Some(guard),
+        }
+    }
+
+    /// Returns the logger.
+    pub const fn logger(&self) -> &Logger {
+        &self.logger
+    }
+}
+
+impl Drop for Logs {
+    fn drop(&mut self) {
+        let guard = self.guard.take();
+        let (sender, written) = mpsc::channel();
+        thread::spawn(move || {
+            // Waits for the writer of the queue.
+            drop(guard);
+            // Nobody listens any more after the time limit.
+            let _late = sender.send(());
+        });
+        // Lines that are not taken in time are lost.
+        let _written = written.recv_timeout(FLUSH_LIMIT);
+    }
 }
 
-fn json() -> slog_async::Async {
+fn json() -> (Async, AsyncGuard) {
     let drain = slog_json::Json::default(std::io::stdout());
-    slog_async::Async::new(drain.fuse()).build()
+    Async::new(drain.fuse()).build_with_guard()
 }
 
-fn terminal() -> slog_async::Async {
+fn terminal() -> (Async, AsyncGuard) {
     let decorator = slog_term::TermDecorator::new().stderr().build();
     let drain = slog_term::FullFormat::new(decorator).build();
-    slog_async::Async::new(drain.fuse()).build()
+    Async::new(drain.fuse()).build_with_guard()
 }
 
 const fn level(level: LogLevel) -> Level {
--- a/chervildrift/src/relay/session.rs
+++ b/chervildrift/src/relay/session.rs
@@ -31,6 +31,10 @@
 /// Idle time of a transaction after which it is ended if the configuration states none.
 const TRANSACTION_IDLE: Duration = Duration::from_secs(30);
 
+/// Time without a message after which a session counts as idle at a planned stop; an operation sends
+/// its next statement within a way there and back.
+const QUIET: Duration = Duration::from_millis(100);
+
 /// One caller's connection.
 struct Connection {
     node: Rc<Node>,
@@ -152,7 +156,10 @@
         let mut stage = self.node.stage.subscribe();
         let closing = async {
             // The node holds the sender for as long as the process runs.
-            let _closed = stage.wait_for(|stage| *stage >= Stage::Closing).await;
+            drop(stage.wait_for(|stage| *stage >= Stage::Closing).await);
+            // Sessions that are never quiet end at the last stage.
+            let ending = stage.wait_for(|stage| *stage >= Stage::Ending);
+            let _quiet = timeout(QUIET, ending).await;
         };
         tokio::select! {
             biased;
--- a/chervildrift/src/try_out/mod.rs
+++ b/chervildrift/src/try_out/mod.rs
@@ -15,13 +15,13 @@
 use clap::Args;
 use quick_error::quick_error;
 use sha2::{Digest, Sha256};
-use slog::o;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::control_store::{self, Platform};
+use crate::logs::Logs;
 use crate::publish::publish;
-use crate::{logs, serve};
+use crate::serve;
 
 /// Service that the embedded default declares.
 const SERVICE: &str = "demo";
@@ -105,6 +105,9 @@
     platform: table::Handle,
     vms: Vec<serve::Handle>,
     credential: String,
+    /// Loggers of the VMs, which write what is queued when they are dropped.
+    #[expect(dead_code, reason = "held until the end")]
+    logs: Vec<Logs>,
 }
 
 /// Runs the embedded default until Ctrl-C or SIGTERM.
@@ -151,6 +154,7 @@
         };
         publish_declaration(platform.address(), &upstreams).await?;
         let mut vms: Vec<serve::Handle> = Vec::new();
+        let mut logs = Vec::new();
         for index in 0..2_u16 {
             let seeds = vms.iter().map(serve::Handle::peers).collect();
             let settings = settings(index, port, &platform, &credential, &keys, seeds);
@@ -158,14 +162,16 @@
                 level,
                 format: LogFormat::Terminal,
             };
-            let log = logs::open(log, settings.vm.as_str()).new(o!());
-            vms.push(serve::spawn(settings, None, log)?);
+            let opened = Logs::open(log, settings.vm.as_str());
+            vms.push(serve::spawn(settings, None, opened.logger().clone())?);
+            logs.push(opened);
         }
         let embedded = Self {
             upstreams,
             platform,
             vms,
             credential,
+            logs,
         };
         embedded.await_ready().await?;
         Ok(embedded)
--- a/chervildrift/tests/relay_records.rs
+++ b/chervildrift/tests/relay_records.rs
@@ -90,7 +90,13 @@
     let text = text.expect("a text");
     let dropped = "chervildrift_relay_dropped_lines_total{event=\"failure\"}";
     assert!(text.contains(dropped), "{text}");
-    vm.signal("KILL");
+    let stop = Instant::now();
+    vm.signal("TERM");
+    vm.wait();
+    assert!(
+        stop.elapsed() < Duration::from_secs(4),
+        "the stop waits for the reader"
+    );
     let mut written = String::new();
     let mut output = vm.take_output().expect("a pipe");
     output.read_to_string(&mut written).expect("lines");
@@ -98,6 +104,17 @@
     assert!(failures < 2_000, "{failures} lines for 3000 failures");
 }
 
+/// Guards against a stop whose last line, and the lines queued before it, are never written.
+#[tokio::test(flavor = "multi_thread")]
+async fn last_line() {
+    let mut fleet = Fleet::spawn(1, &Options::default()).await;
+    fleet.vms[0].signal("TERM");
+    assert!(fleet.vms[0].wait());
+    let log = fleet.vms[0].log();
+    let last = log.last().expect("a line");
+    assert_eq!(last["msg"], "stopped", "{last}");
+}
+
 /// Guards against events that the page for on-call work does not explain, and against explained ones
 /// that no code writes.
 #[test]
--- a/chervildrift/tests/relay_stops.rs
+++ b/chervildrift/tests/relay_stops.rs
@@ -33,6 +33,28 @@
     assert_eq!(fleet.platform.database.value("x").as_deref(), Some("1"));
 }
 
+/// Guards against operations that are cut between two of their statements when idle sessions are
+/// closed, 2.3 s after the signal.
+#[tokio::test(flavor = "multi_thread")]
+async fn running_operation() {
+    let mut fleet = Fleet::spawn_with(1, &Options::default(), "grace_s: 6\n").await;
+    let mut session = fleet.vms[0].session("own").await;
+    let start = Instant::now();
+    fleet.vms[0].signal("TERM");
+    for step in 0.. {
+        assert_eq!(session.run("PREPARE p READ q").await.result, "COMPLETE -");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let answer = session.run("EXECUTE p x").await;
+        assert!(answer.is_signed(), "step {step}: {answer:?}");
+        if start.elapsed() > Duration::from_millis(2_700) {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(session.answer().await.end, "", "an idle session is closed");
+    assert!(fleet.vms[0].wait(), "a request was cut");
+}
+
 /// Guards against a transaction that holds up a stop or is cut without an answer.
 #[tokio::test(flavor = "multi_thread")]
 async fn open_transaction() {
--- a/chervildrift/tests/relayed/mod.rs
+++ b/chervildrift/tests/relayed/mod.rs
@@ -97,9 +97,14 @@
             std::env::temp_dir().join(name)
         };
         let (settings, log) = (path("yaml"), path("log"));
+        let grace = if more.contains("grace_s") {
+            ""
+        } else {
+            "grace_s: 3\n"
+        };
         let text = format!(
             "vm: vm-{number}\nzone: north\nregions: {{north: isle}}\ncallers: \"{callers}\"\n\
-             operators: \"{operators}\"\npeers: \"{peers}\"\nstore: \"{}\"\npromotions: \"{}\"\ngrace_s: 3\n{more}",
+             operators: \"{operators}\"\npeers: \"{peers}\"\nstore: \"{}\"\npromotions: \"{}\"\n{grace}{more}",
             self.store, self.platform.address
         );
         std::fs::write(&settings, text).expect("writes the settings");
