--- a/chervildrift/src/relay/confirm.rs
+++ b/chervildrift/src/relay/confirm.rs
@@ -17,6 +17,7 @@
 use super::answer::Failure;
 use super::clock;
 use super::lines::RequestEvent;
+use super::metrics::Part;
 use super::node::Node;
 use super::replicas::{applied, observe};
 
@@ -49,6 +50,8 @@
     let asked = clock::now();
     // Without a confirmation in time the commit is acknowledged and logged below.
     let _confirmed = timeout(limit, await_received(node, commit)).await;
+    let waited = clock::now().since(asked);
+    node.metrics.took(Part::Confirmation, waited);
     let (kept, confirmation) = node.with_group(commit.service, |group| {
         let kept = group.leader() == Some(commit.leader) && group.epoch() == epoch;
         (kept, group.confirmation(commit.mark))
@@ -63,7 +66,7 @@
             warn!(node.log, "commit acknowledged by the primary alone"; "event" => "unconfirmed",
                 "request" => commit.id, "service" => %commit.service,
                 "upstream" => %commit.leader, "mark" => %commit.mark,
-                "waited_ms" => clock::now().since(asked).as_millis() as u64,
+                "waited_ms" => waited.as_millis() as u64,
                 "dropped" => dropped);
         }
     }
--- a/chervildrift/src/relay/metrics.rs
+++ b/chervildrift/src/relay/metrics.rs
@@ -4,6 +4,7 @@
 
 use chervildrift_core::relay::Code;
 use chervildrift_core::types::{Kind, Service, Upstream};
+use derive_more::Display;
 use prometheus::{
     Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
     Registry, TextEncoder,
@@ -18,12 +19,30 @@
     0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 8.0,
 ];
 
+/// Part of the time that a statement takes.
+#[derive(Clone, Copy, Debug, Display)]
+pub(super) enum Part {
+    /// Wait for the right to use a connection.
+    #[display("queue")]
+    Queue,
+    /// Opening of a connection.
+    #[display("connection")]
+    Connection,
+    /// From sending to an upstream to its answer.
+    #[display("upstream")]
+    Upstream,
+    /// Wait for a replica to have received a commit.
+    #[display("confirmation")]
+    Confirmation,
+}
+
 /// Metrics of a relaying VM; labels are bounded by the configuration.
 #[derive(Clone, Debug)]
 pub(super) struct Metrics {
     registry: Registry,
     statements: IntCounterVec,
     latency: HistogramVec,
+    parts: HistogramVec,
     tries: IntCounterVec,
     places: IntCounterVec,
     /// Commits that were acknowledged by the primary alone.
@@ -61,12 +80,12 @@
             registry.register(Box::new(gauge.clone()))?;
             Ok::<_, prometheus::Error>(gauge)
         };
-        let latency = HistogramOpts::new(
-            "chervildrift_relay_statement_seconds",
-            "Time from a statement to its answer",
-        );
-        let latency = HistogramVec::new(latency.buckets(LATENCY_BOUNDS.to_vec()), &["kind"])?;
-        registry.register(Box::new(latency.clone()))?;
+        let histograms = |name: &str, help: &str, label: &str| {
+            let options = HistogramOpts::from(options(name, help));
+            let histograms = HistogramVec::new(options.buckets(LATENCY_BOUNDS.to_vec()), &[label])?;
+            registry.register(Box::new(histograms.clone()))?;
+            Ok::<_, prometheus::Error>(histograms)
+        };
         let unconfirmed = IntCounter::with_opts(options(
             "unconfirmed_total",
             "Commits acknowledged by the primary alone",
@@ -78,7 +97,16 @@
                 "Statements by result",
                 &["kind", "result"],
             )?,
-            latency,
+            latency: histograms(
+                "statement_seconds",
+                "Time from a statement to its answer",
+                "kind",
+            )?,
+            parts: histograms(
+                "part_seconds",
+                "Time of a try by part: queue, connection, upstream, confirmation",
+                "part",
+            )?,
             tries: counters(
                 "retries_total",
                 "Further tries by reason",
@@ -123,6 +151,12 @@
         latency.observe(took.as_secs_f64());
     }
 
+    /// Takes in how long a part of a statement took.
+    pub(super) fn took(&self, part: Part, time: Duration) {
+        let histogram = self.parts.with_label_values(&[&part.to_string()]);
+        histogram.observe(time.as_secs_f64());
+    }
+
     /// Counts a log line that was dropped.
     pub(super) fn dropped_line(&self, event: RequestEvent) {
         let dropped = self.dropped.with_label_values(&[&event.to_string()]);
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -16,6 +16,7 @@
 
 use super::clock;
 use super::link::{Link, LinkError};
+use super::metrics::Part;
 use super::node::Node;
 use super::peers;
 
@@ -279,7 +280,11 @@
             link
         } else {
             self.opened = true;
-            self.connect(node).await?
+            let began = clock::now();
+            let connected = self.connect(node).await;
+            let took = clock::now().since(began);
+            node.metrics.took(Part::Connection, took);
+            connected?
         };
         Ok(self.link.insert(link))
     }
--- a/chervildrift/src/relay/single.rs
+++ b/chervildrift/src/relay/single.rs
@@ -133,7 +133,7 @@
     let Some(reply) = replies.next() else {
         return Err(Failure::new(Code::InDoubt, "no answer"));
     };
-    turn.note_answer(target, reply.mark);
+    turn.note_answer(target, asked, reply.mark);
     match reply.result {
         Ok(signature) => {
             if single.access == Access::Write {
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -16,6 +16,7 @@
 use super::clock;
 use super::confirm::{Commit, confirm};
 use super::link::Reply;
+use super::metrics::Part;
 use super::node::Node;
 use super::pool::Lease;
 use super::turn::{Target, Turn};
@@ -189,7 +190,10 @@
         let Some(link) = place.and_then(|it| it.lease.open_link()) else {
             return Err(Failure::new(Code::Aborted, "no connection"));
         };
+        let asked = clock::now();
         let ran = link.run_for(session, shape, &[*command], limit).await;
+        let took = clock::now().since(asked);
+        self.node.metrics.took(Part::Upstream, took);
         let replies = ran.map_err(|err| Failure::new(Code::Aborted, err.to_string()))?;
         let reply = replies.into_iter().next();
         reply.ok_or_else(|| Failure::new(Code::Aborted, "no answer"))
--- a/chervildrift/src/relay/turn.rs
+++ b/chervildrift/src/relay/turn.rs
@@ -15,6 +15,7 @@
 use super::clock;
 use super::lines::RequestEvent;
 use super::link::{Link, LinkError};
+use super::metrics::Part;
 use super::node::Node;
 use super::pool::{Demand, Lease};
 
@@ -217,6 +218,8 @@
             deadline,
         };
         let lease = pool.acquire(demand).await;
+        let waited = clock::now().since(now);
+        self.node.metrics.took(Part::Queue, waited);
         lease.map_err(|refusal| {
             let detail = format!("{} {}: {refusal}", target.place(), target.upstream);
             Failure::new(Code::Busy, detail).retry_after(refusal.wait().max(QUEUE_RETRY))
@@ -262,8 +265,11 @@
         }
     }
 
-    /// Takes in that an upstream has answered, and the position that a replica has shown.
-    pub(super) fn note_answer(&self, target: &Target, mark: Option<Mark>) {
+    /// Takes in that an upstream has answered what it was asked at `asked`, and the position that a
+    /// replica has shown.
+    pub(super) fn note_answer(&self, target: &Target, asked: Time, mark: Option<Mark>) {
+        let took = clock::now().since(asked);
+        self.node.metrics.took(Part::Upstream, took);
         if let Some(pool) = self.node.pool(&target.upstream) {
             pool.failed.set(None);
         }
--- a/chervildrift/tests/relay_records.rs
+++ b/chervildrift/tests/relay_records.rs
@@ -104,6 +104,24 @@
     assert!(failures < 2_000, "{failures} lines for 3000 failures");
 }
 
+/// Guards against slow statements whose metrics don't tell where the time went.
+#[tokio::test(flavor = "multi_thread")]
+async fn timed_parts() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    assert!(session.run("READ x").await.is_signed());
+    let url = format!("http://{}/metrics", fleet.vms[0].operators);
+    let text = reqwest::get(&url).await.expect("metrics").text().await;
+    let text = text.expect("a text");
+    for part in ["queue", "connection", "upstream", "confirmation"] {
+        let name = format!("chervildrift_relay_part_seconds_count{{part=\"{part}\"}} ");
+        let line = text.lines().find_map(|line| line.strip_prefix(&name));
+        let count: u64 = line.expect(&name).parse().expect("a count");
+        assert!(count > 0, "{part}");
+    }
+}
+
 /// Guards against a stop whose last line, and the lines queued before it, are never written.
 #[tokio::test(flavor = "multi_thread")]
 async fn last_line() {
