Move orders to the platform out of the failover

Change: orders.rs gives, revokes and settles orders; failover.rs keeps the steps. Behaviour is the same.

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Authority, Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
+use chervildrift_core::relay::{Case, Claim, ORDER_LIMIT, Stance, Vote, stance};
 use chervildrift_core::types::{Service, Time, Upstream, Vm};
-use chervildrift_platform::promotion::{Error as OrderError, Promotions};
+use chervildrift_platform::promotion::Error as OrderError;
 use chervildrift_platform::store::{Error, Listing, Transaction};
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
@@ -13,6 +13,7 @@
 use super::claims::{claim_key, decode, encode, take_claim};
 use super::clock;
 use super::node::Node;
+use super::orders::{ORDER_PAUSE, Orders};
 use super::peers;
 use super::presence::{TABLE, live_peers, row};
 use super::succession::Succession;
@@ -23,16 +24,9 @@
 /// Time for one round of votes among the VMs; the next one finds those that have changed their mind.
 const VOTE_LIMIT: Duration = Duration::from_millis(250);
 
-/// Pause after an order that was taken; it covers the start of the new leader.
-const ORDER_PAUSE: Duration = Duration::from_secs(4);
-
 /// Interval at which a vote is renewed.
 const VOTE_RENEWAL: Duration = Duration::from_secs(1);
 
-/// Time after which an order without an answer is no longer expected; the platform's pages speak of
-/// seconds.
-const REVOKE_LIMIT: Duration = Duration::from_secs(12);
-
 /// Pause before another try of an order, and between two looks while the store is away.
 const PAUSE: Duration = Duration::from_millis(150);
 
@@ -43,6 +37,7 @@
     leader: Option<&'a Upstream>,
     planned: bool,
     succession: Succession<'a>,
+    orders: Orders<'a>,
     started: Time,
     voted: Option<Time>,
     /// Target of the last order that was taken, and when it was.
@@ -65,7 +60,7 @@
     leader: Option<&Upstream>,
     planned: bool,
 ) {
-    let Some(promotions) = node.promotions.clone() else {
+    let Some(orders) = Orders::open(node, service, leader) else {
         return;
     };
     let mut replacement = Replacement {
@@ -74,6 +69,7 @@
         leader,
         planned,
         succession: Succession::open(node, service, leader, planned),
+        orders,
         started: clock::now(),
         voted: None,
         taken: None,
@@ -84,34 +80,25 @@
             "leader" => leader.map(Upstream::as_str), "planned" => planned);
     }
     while replacement.is_due() {
-        match replacement.step(&promotions).await {
+        match replacement.step().await {
             Ok(pause) => sleep(pause).await,
             Err(err) => {
                 if !replacement.noted {
                     warn!(node.log, "failover without the store"; "event" => "failover",
                         "service" => %service, "error" => %err,
-                        "claimed" => replacement.is_claimed());
+                        "claimed" => replacement.orders.is_claimed());
                     replacement.noted = true;
                 }
-                replacement.step_without_store(&promotions).await;
+                replacement.step_without_store().await;
                 sleep(PAUSE).await;
             }
         }
     }
-    replacement.revoke(&promotions).await;
+    replacement.orders.revoke().await;
     replacement.await_leader().await;
     replacement.succession.release().await;
 }
 
-/// Returns the leader of a service if an order of this VM without an answer may still replace it.
-pub(super) fn threatened(node: &Node, service: &Service) -> Option<Upstream> {
-    let claims = node.claims.borrow();
-    let authority = claims.get(service)?;
-    let now = clock::now();
-    let leader = node.with_group(service, |group| group.trusted(now).cloned());
-    leader.filter(|leader| authority.threatens(leader))
-}
-
 impl Replacement<'_> {
     fn is_due(&self) -> bool {
         let now = clock::now();
@@ -124,7 +111,7 @@
     }
 
     /// Takes one step and returns the pause before the next one.
-    async fn step(&mut self, promotions: &Promotions) -> Result<Duration, Error> {
+    async fn step(&mut self) -> Result<Duration, Error> {
         let asked = clock::now();
         let listing = self.node.store.list(TABLE).await?;
         let records = self.records(listing);
@@ -163,7 +150,7 @@
                     at: records.listing.now_ms,
                 };
                 if take_claim(self.node, self.service, &claim, version).await? {
-                    self.promote(promotions, asked + ORDER_LIMIT).await;
+                    self.promote(asked + ORDER_LIMIT).await;
                 }
                 Ok(POLL)
             }
@@ -229,8 +216,8 @@
     }
 
     /// Orders a promotion under a claim that this VM holds already, if the others agree.
-    async fn step_without_store(&mut self, promotions: &Promotions) {
-        if !self.is_claimed() || self.has_ordered() {
+    async fn step_without_store(&mut self) {
+        if !self.orders.is_claimed() || self.has_ordered() {
             return;
         }
         if !self.planned {
@@ -242,14 +229,14 @@
             }
         }
         let end = clock::now() + ORDER_LIMIT;
-        self.promote(promotions, end).await;
+        self.promote(end).await;
     }
 
     /// Orders promotions until one is taken or refused, for as long as the leader has to be replaced
     /// and no other VM may claim the service.
-    async fn promote(&mut self, promotions: &Promotions, end: Time) {
+    async fn promote(&mut self, end: Time) {
         let mut chosen = None;
-        while self.is_due() && self.is_claimed() && clock::now() < end {
+        while self.is_due() && self.orders.is_claimed() && clock::now() < end {
             if chosen.is_none() {
                 chosen = self.succession.settle().await;
             }
@@ -257,7 +244,7 @@
                 sleep(PAUSE).await;
                 continue;
             };
-            match self.order(promotions, target, "promotion ordered").await {
+            match self.orders.promote(target).await {
                 Ok(()) => {
                     self.taken = Some((target.clone(), clock::now()));
                     return;
@@ -276,99 +263,4 @@
             self.succession.release().await;
         }
     }
-
-    /// Makes sure that no order without an answer replaces a leader that works after all.
-    ///
-    /// An order that names the present leader changes nothing and outdates the fencing tokens of all
-    /// earlier ones. One that was taken before may still come into force, so that the fences hold for
-    /// the time of a promotion where commits are acknowledged by replicas.
-    async fn revoke(&self, promotions: &Promotions) {
-        let end = clock::now() + REVOKE_LIMIT;
-        while let Some(leader) = threatened(self.node, self.service) {
-            if clock::now() >= end {
-                warn!(self.node.log, "order not revoked"; "event" => "failover",
-                    "service" => %self.service, "leader" => %leader);
-                self.with_authority(Authority::settle);
-                return;
-            }
-            match self.order(promotions, &leader, "order revoked").await {
-                Ok(()) => return self.await_promotion(&leader).await,
-                Err(OrderError::Conflict | OrderError::Rejected(_)) => return,
-                Err(_) => sleep(PAUSE).await,
-            }
-        }
-    }
-
-    /// Waits for the time that a promotion takes, while this leader works.
-    async fn await_promotion(&self, leader: &Upstream) {
-        let rules = self.node.routes.borrow().rules(self.service);
-        if rules.is_none_or(|rules| rules.sync_replicas == 0) {
-            return;
-        }
-        let end = clock::now() + ORDER_PAUSE;
-        let works = || {
-            let now = clock::now();
-            let current = self
-                .node
-                .with_group(self.service, |group| group.trusted(now) == Some(leader));
-            current && now < end
-        };
-        while works() {
-            sleep(PAUSE).await;
-        }
-    }
-
-    /// Tells whether this VM may order promotions of the service.
-    fn is_claimed(&self) -> bool {
-        let claims = self.node.claims.borrow();
-        claims.get(self.service).is_some_and(Authority::is_held)
-    }
-
-    fn with_authority(&self, change: impl FnOnce(&mut Authority)) {
-        if let Some(authority) = self.node.claims.borrow_mut().get_mut(self.service) {
-            change(authority);
-        }
-    }
-
-    /// Gives an order once, under the next fencing token of the claim; a refusal ends the claim.
-    async fn order(
-        &self,
-        promotions: &Promotions,
-        target: &Upstream,
-        message: &'static str,
-    ) -> Result<(), OrderError> {
-        let vm = &self.node.settings.vm;
-        let claimed = self
-            .node
-            .claims
-            .borrow_mut()
-            .get_mut(self.service)
-            .and_then(|authority| authority.begin(target));
-        let Some(token) = claimed else {
-            warn!(self.node.log, "no claim to order under"; "event" => "failover",
-                "service" => %self.service, "upstream" => %target);
-            return Err(OrderError::Conflict);
-        };
-        let order = promotions.promote(self.service, target, vm, token).await;
-        info!(self.node.log, "{}", message; "event" => "failover", "service" => %self.service,
-            "upstream" => %target, "token" => token, "replaces" => self.leader.map(Upstream::as_str),
-            "outcome" => order.as_ref().map_or_else(ToString::to_string, |()| "taken".into()));
-        let outcome = match &order {
-            Ok(()) => "taken",
-            Err(OrderError::Conflict) => "conflict",
-            Err(_) => "failed",
-        };
-        self.node.metrics.ordered(self.service, outcome);
-        match &order {
-            Ok(()) => self.with_authority(Authority::settle),
-            Err(OrderError::NoAnswer) => self.with_authority(Authority::leave_open),
-            Err(OrderError::Conflict | OrderError::Rejected(_)) => {
-                self.node.claims.borrow_mut().remove(self.service);
-            }
-            Err(OrderError::Unavailable | OrderError::Setup(_)) => {
-                self.with_authority(Authority::withdraw);
-            }
-        }
-        order
-    }
 }
--- a/chervildrift/src/relay/keeper.rs
+++ b/chervildrift/src/relay/keeper.rs
@@ -19,6 +19,7 @@
 use super::failover;
 use super::link::LinkError;
 use super::node::Node;
+use super::orders::threatened;
 use super::pool::Demand;
 
 /// Interval at which the services are looked at.
@@ -91,7 +92,7 @@
     }
     let leaves = |leader: &Upstream| node.directory.borrow().leaves(now, leader);
     let planned = leader.as_ref().is_some_and(leaves);
-    if planned || suspected || failover::threatened(node, service).is_some() {
+    if planned || suspected || threatened(node, service).is_some() {
         replace(node, running, service, leader, planned);
     }
 }
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -16,6 +16,7 @@
 mod listener;
 mod metrics;
 mod node;
+mod orders;
 mod peers;
 mod pool;
 mod presence;
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -135,7 +135,7 @@
         }
     }
 
-    /// Ends an order that was taken, which outdates all earlier ones.
+    /// Ends all orders: one was taken, which outdates the earlier ones, or they are too old to come.
     pub fn settle(&mut self) {
         self.pending = None;
         self.unanswered.clear();
