Revoke no orders where the platform checks no fencing tokens

Cause: an order that names the present leader outdates earlier ones by its token. Where tokens are not checked it outdates nothing, and under a lost claim its token is lower than one the platform has seen. Change: setting tokens_checked, filled in from the platform's settings; without it no order is revoked. No change where tokens are checked.

--- a/chervildrift/src/relay/orders.rs
+++ b/chervildrift/src/relay/orders.rs
@@ -36,7 +36,12 @@
 }
 
 /// Returns the leader of a service if an order of this VM without an answer may still replace it.
+///
+/// Where the platform checks no fencing tokens, an order outdates no other one and is not revoked.
 pub(super) fn threatened(node: &Node, service: &Service) -> Option<Upstream> {
+    if !node.settings.tokens_checked {
+        return None;
+    }
     let claims = node.claims.borrow();
     let authority = claims.get(service)?;
     let now = clock::now();
--- a/chervildrift/tests/operator_commands.rs
+++ b/chervildrift/tests/operator_commands.rs
@@ -94,6 +94,7 @@
             Some("drain_ms is 100; give a number from 500 to 600000"),
         ),
         ("drain_ms: 3500.5\napply_ms: 2000\n", None),
+        ("tokens_checked: false\n", None),
         ("hold: 4\n", Some("unknown field")),
     ] {
         std::fs::write(&path, good.to_owned() + more).expect("writes the file");
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -380,3 +380,21 @@
     await_true("new primary", async || database.primary() != Some(0)).await;
     await_true("no fences", async || database.fenced().is_empty()).await;
 }
+
+/// Guards against orders under lower fencing tokens than the platform has seen, where it does not check
+/// them and would carry them out.
+#[tokio::test(flavor = "multi_thread")]
+async fn unchecked_tokens() {
+    let more = "tokens_checked: false\n";
+    let fleet = Fleet::spawn_with(1, &Options::default(), more).await;
+    let database = &fleet.platform.database;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    database.ignore_orders(2);
+    database.set_dark(0, true);
+    await_true("order", async || fleet.vms[0].logged("promotion ordered")).await;
+    database.set_dark(0, false);
+    assert!(session.run("WRITE x 2").await.is_signed());
+    await_true("no fences", async || database.fenced().is_empty()).await;
+    assert!(!fleet.vms[0].logged("order revoked"));
+}
--- a/chervildrift_core/src/config/relay.rs
+++ b/chervildrift_core/src/config/relay.rs
@@ -33,6 +33,9 @@
     /// Address that takes orders to promote an upstream, if the platform takes any.
     #[serde(default)]
     pub promotions: Option<SocketAddr>,
+    /// Whether the platform refuses an order whose fencing token is lower than one that it has seen.
+    #[serde(default = "RelaySettings::tokens_checked")]
+    pub tokens_checked: bool,
     /// Time between a signal to stop and the end of the process, in seconds.
     #[serde(default = "RelaySettings::grace_s")]
     pub grace_s: f64,
@@ -55,6 +58,10 @@
 }
 
 impl RelaySettings {
+    const fn tokens_checked() -> bool {
+        true
+    }
+
     const fn grace_s() -> f64 {
         6.0
     }
