Share the set-up of the tests on leaders

Cause: twelve tests opened a session and wrote an item in the same two lines, three silenced the primary until an order was given. Change: two functions serve them; no check has changed.

--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -6,11 +6,26 @@
 
 use chervildrift_standin::deployment::{Database, Options};
 
-use relayed::{Fleet, await_true};
+use relayed::{Fleet, Session, await_true};
 
 /// Longest gap in service at a failover, from the design's targets.
 const GAP: Duration = Duration::from_secs(3);
 
+/// Opens a session that has written an item.
+async fn written(fleet: &Fleet) -> Session {
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.is_signed());
+    session
+}
+
+/// Silences the primary until an order to replace it has an answer or is given up.
+async fn silence_until_order(fleet: &Fleet) {
+    let database = &fleet.platform.database;
+    database.set_dark(0, true);
+    await_true("order", async || fleet.vms[0].logged("promotion ordered")).await;
+    database.set_dark(0, false);
+}
+
 /// Guards against a dead primary that nobody replaces, and against confirmed writes that are lost.
 #[tokio::test(flavor = "multi_thread")]
 async fn dead_primary() {
@@ -38,8 +53,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn leaving_primary() {
     let fleet = Fleet::spawn(2, &Options::default()).await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     fleet.platform.database.set_draining(0);
     fleet.platform.register();
     await_true("new primary", async || {
@@ -74,8 +88,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn lost_claim() {
     let fleet = Fleet::spawn(1, &Options::default()).await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let _session = written(&fleet).await;
     fleet.platform.store.lose_answers(4);
     fleet.platform.database.set_dark(0, true);
     await_true("new primary", async || {
@@ -92,8 +105,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn late_claim() {
     let fleet = Fleet::spawn(1, &Options::default()).await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let _session = written(&fleet).await;
     let token = || {
         let claim = fleet.platform.store.get("chervildrift", "claim/ledger")?;
         let claim: serde_json::Value = serde_json::from_slice(&claim).ok()?;
@@ -159,8 +171,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn unconfirmed_commit() {
     let fleet = Fleet::spawn(1, &Options::default()).await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     for member in [1, 2] {
         fleet.platform.database.set_deaf(member, true);
     }
@@ -180,8 +191,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn held_write() {
     let fleet = Fleet::spawn_with(1, &Options::default(), "hold_ms: 0\n").await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     fleet.platform.database.lose_answers(1);
     assert_eq!(session.run("WRITE x 2").await.code(), "INDOUBT");
     assert_eq!(fleet.platform.database.value("x").as_deref(), Some("2"));
@@ -237,8 +247,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn fenced_replicas() {
     let fleet = Fleet::spawn(2, &Options::default()).await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let _session = written(&fleet).await;
     fleet.platform.database.set_draining(0);
     fleet.platform.register();
     let mut fenced = Vec::new();
@@ -260,8 +269,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn unanswered_orders() {
     let fleet = Fleet::spawn(2, &Options::default()).await;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     fleet.platform.database.ignore_orders(7);
     fleet.platform.database.set_draining(0);
     fleet.platform.register();
@@ -289,12 +297,9 @@
 async fn revoked_order() {
     let fleet = Fleet::spawn(1, &Options::default()).await;
     let database = &fleet.platform.database;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     database.delay_orders(2, Duration::from_secs(3));
-    database.set_dark(0, true);
-    await_true("order", async || fleet.vms[0].logged("promotion ordered")).await;
-    database.set_dark(0, false);
+    silence_until_order(&fleet).await;
     let ordered = Instant::now();
     let mut round = 1;
     while ordered.elapsed() < Duration::from_secs(4) {
@@ -313,8 +318,7 @@
 async fn repeated_order() {
     let fleet = Fleet::spawn(1, &Options::default()).await;
     let database = &fleet.platform.database;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     await_true("claim", async || fleet.vms[0].logged("service claimed")).await;
     fleet.platform.store.set_down(true);
     database.delay_orders(1, Duration::from_secs(7));
@@ -338,8 +342,7 @@
 async fn late_return() {
     let fleet = Fleet::spawn(2, &Options::default()).await;
     let database = &fleet.platform.database;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     database.delay_orders(100, Duration::from_secs(8));
     database.set_dark(0, true);
     tokio::time::sleep(Duration::from_secs(6)).await;
@@ -366,11 +369,8 @@
     };
     let fleet = Fleet::spawn(1, &options).await;
     let database = &fleet.platform.database;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
-    database.set_dark(0, true);
-    await_true("order", async || fleet.vms[0].logged("promotion ordered")).await;
-    database.set_dark(0, false);
+    let mut session = written(&fleet).await;
+    silence_until_order(&fleet).await;
     let ordered = Instant::now();
     while ordered.elapsed() < Duration::from_millis(1_500) {
         assert_eq!(database.primary(), Some(0));
@@ -388,12 +388,9 @@
     let more = "tokens_checked: false\n";
     let fleet = Fleet::spawn_with(1, &Options::default(), more).await;
     let database = &fleet.platform.database;
-    let mut session = fleet.vms[0].session("own").await;
-    assert!(session.run("WRITE x 1").await.is_signed());
+    let mut session = written(&fleet).await;
     database.ignore_orders(2);
-    database.set_dark(0, true);
-    await_true("order", async || fleet.vms[0].logged("promotion ordered")).await;
-    database.set_dark(0, false);
+    silence_until_order(&fleet).await;
     assert!(session.run("WRITE x 2").await.is_signed());
     await_true("no fences", async || database.fenced().is_empty()).await;
     assert!(!fleet.vms[0].logged("order revoked"));
