--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -342,7 +342,7 @@
 async fn late_return() {
     let fleet = Fleet::spawn(2, &Options::default()).await;
     let database = &fleet.platform.database;
-    let mut session = written(&fleet).await;
+    let _session = written(&fleet).await;
     database.delay_orders(100, Duration::from_secs(8));
     database.set_dark(0, true);
     tokio::time::sleep(Duration::from_secs(6)).await;
