Call the number of a claim a number

Cause: the field token of a claim is no longer a fencing token; tokens are derived from it. Change: the field is named number, records keep their format; the log line of a claim has `claim`.

--- a/chervildrift/src/relay/claims.rs
+++ b/chervildrift/src/relay/claims.rs
@@ -56,12 +56,12 @@
         };
         if taken {
             info!(node.log, "service claimed"; "event" => "claim", "service" => %service,
-                "token" => claim.token);
+                "claim" => claim.number);
             let mut claims = node.claims.borrow_mut();
             claims
                 .entry(service.clone())
-                .and_modify(|held| held.renew(claim.token))
-                .or_insert_with(|| Authority::open(claim.token));
+                .and_modify(|held| held.renew(claim.number))
+                .or_insert_with(|| Authority::open(claim.number));
         }
         return Ok(taken);
     }
@@ -97,7 +97,7 @@
         let claim = Claim {
             vm: node.settings.vm.clone(),
             boot: node.boot,
-            token: held.map_or(0, |it| it.token) + 1,
+            number: held.map_or(0, |it| it.number) + 1,
             replaces: None,
             // Nothing was ordered under the claim, so a failover need not wait for it.
             at: 0,
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -140,12 +140,12 @@
             Stance::Later(pause) => Ok(pause.min(POLL)),
             // An order of this VM is still under way.
             Stance::Claim(_) if self.has_ordered() => Ok(POLL),
-            Stance::Claim(token) => {
+            Stance::Claim(number) => {
                 let version = records.claim.map_or(0, |(_, version)| version);
                 let claim = Claim {
                     vm: self.node.settings.vm.clone(),
                     boot: self.node.boot,
-                    token,
+                    number,
                     replaces: self.leader.cloned(),
                     at: records.listing.now_ms,
                 };
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -369,7 +369,7 @@
     };
     let fleet = Fleet::spawn(1, &options).await;
     let database = &fleet.platform.database;
-    let mut session = written(&fleet).await;
+    let _session = written(&fleet).await;
     silence_until_order(&fleet).await;
     let ordered = Instant::now();
     while ordered.elapsed() < Duration::from_millis(1_500) {
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -49,8 +49,9 @@
     /// Start of its process, which tells apart two processes of one VM.
     pub boot: u64,
     /// Number of the claim, which its fencing tokens begin with; a greater one belongs to a later
-    /// claim.
-    pub token: u64,
+    /// claim. Records keep the name that it had when it was the token itself.
+    #[serde(rename = "token")]
+    pub number: u64,
     /// Leader that is to be replaced, if one is known.
     pub replaces: Option<Upstream>,
     /// Time of the platform's store at the claim, in milliseconds.
@@ -78,7 +79,7 @@
 }
 
 impl Authority {
-    /// Opens the authority of a claim, by the token of its record.
+    /// Opens the authority of a claim, by its number.
     #[must_use]
     pub fn open(claim: u64) -> Self {
         Self {
@@ -156,7 +157,7 @@
     Wait,
     /// Another VM goes first.
     Later(Duration),
-    /// Claims the service with this token.
+    /// Claims the service with this number.
     Claim(u64),
 }
 
@@ -208,7 +209,7 @@
     if case.waited < delay {
         return Stance::Later(delay.saturating_sub(case.waited));
     }
-    Stance::Claim(case.claim.map_or(0, |claim| claim.token) + 1)
+    Stance::Claim(case.claim.map_or(0, |claim| claim.number) + 1)
 }
 
 /// Returns the place of a VM in the order of the VMs for this service.
--- a/chervildrift_core/tests/relay_elections.rs
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -21,11 +21,11 @@
     }
 }
 
-fn claim(token: u64, at: u64) -> Claim {
+fn claim(number: u64, at: u64) -> Claim {
     Claim {
         vm: Vm::from("vm-9"),
         boot: 1,
-        token,
+        number,
         replaces: None,
         at,
     }
@@ -138,7 +138,7 @@
 }
 
 proptest! {
-    /// Guards against a fencing token that does not rise, whatever the records say.
+    /// Guards against a number of claims that does not rise, whatever the records say.
     #[test]
     fn rising_tokens(token in 0_u64..1_000_000, at in 0_u64..200_000, votes in 0_usize..8) {
         let (leader, live) = (Upstream::from("a"), vms(7));
