--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -50,7 +50,7 @@
         let vms = &fleet.vms;
         vms.iter()
             .all(|vm| logged(vm, "presence", "vms", vms.len()))
-            && vms.iter().any(|vm| logged(vm, "claim", "token", 1))
+            && vms.iter().any(|vm| logged(vm, "claim", "claim", 1))
     })
     .await;
 }
