--- a/chervildrift/src/relay/attempts.rs
+++ b/chervildrift/src/relay/attempts.rs
@@ -12,12 +12,13 @@
 use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
+use super::checkout::{Checkout, CheckoutError};
 use super::clock;
-use super::connection::{Connection, ConnectionError};
+use super::connection::ConnectionError;
 use super::log_quotas::RequestEvent;
 use super::metrics::StatementPart;
 use super::node::Node;
-use super::pool::{AcquireRequest, Permit};
+use super::pool::AcquireRequest;
 use super::response::Failure;
 
 /// Maximum number of attempts of one statement; after that many failures the fleet needs time to
@@ -27,9 +28,6 @@
 /// Delay before a retry after an upstream was busy, was the wrong one or failed, or a connection did.
 pub(super) const RETRY_DELAY: Duration = Duration::from_millis(25);
 
-/// Minimum retry time for callers when a queue is full; some statements finish within it.
-const MIN_QUEUE_RETRY_DELAY: Duration = Duration::from_millis(100);
-
 /// Timeout for a sample of the leader's log; several times the network delay between regions plus
 /// one probe.
 const SAMPLE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -215,11 +213,14 @@
         })
     }
 
-    /// Waits for a permit to use a connection to the target.
-    pub(super) async fn acquire(&self, target: &Target) -> Result<Permit, Failure> {
-        let Some(pool) = self.node.pool(&target.upstream) else {
-            return Err(Failure::new(Code::Busy, "the upstream has gone"));
-        };
+    /// Checks out a connection to the target; gives up if the target is replaced as leader
+    /// meanwhile, since nothing has been sent yet.
+    pub(super) async fn checkout(
+        &self,
+        target: &Target,
+        session: &Session,
+        prepared: Option<&PreparedStatement>,
+    ) -> Result<Checkout, CheckoutError> {
         let at_leader = target.min_position == MinPosition::LeaderOnly;
         self.node.metrics.count_place(&self.route.kind, at_leader);
         let now = clock::now();
@@ -231,25 +232,6 @@
             caller: self.caller.clone(),
             deadline,
         };
-        let permit = pool.acquire(request).await;
-        let waited = clock::now().since(now);
-        self.node.metrics.record_part(StatementPart::Queue, waited);
-        permit.map_err(|refusal| {
-            let detail = format!("{} {}: {refusal}", target.place_label(), target.upstream);
-            Failure::new(Code::Busy, detail)
-                .retry_after(refusal.estimated_wait().max(MIN_QUEUE_RETRY_DELAY))
-        })
-    }
-
-    /// Returns the connection of a permit; gives up if the target is replaced as leader meanwhile,
-    /// since nothing has been sent yet.
-    pub(super) async fn open_connection<'l>(
-        &self,
-        target: &Target,
-        permit: &'l mut Permit,
-        session: &Session,
-        prepared: Option<&PreparedStatement>,
-    ) -> Result<&'l mut Connection, ConnectionError> {
         let leader_replaced = async {
             loop {
                 let changed = self.node.state_changed.notified();
@@ -258,15 +240,33 @@
                         .leader()
                         .is_none_or(|leader| *leader == target.upstream)
                 });
-                if target.min_position == MinPosition::LeaderOnly && !is_leader {
+                if at_leader && !is_leader {
                     return;
                 }
                 changed.await;
             }
         };
         tokio::select! {
-            connection = permit.connection(self.node, session, prepared) => connection,
-            () = leader_replaced => Err(ConnectionError::LeaderReplaced),
+            opened = Checkout::open(self.node, &target.upstream, request, session, prepared) => opened,
+            () = leader_replaced => Err(CheckoutError::Connection(ConnectionError::LeaderReplaced)),
+        }
+    }
+
+    /// Handles a checkout that failed, before anything was sent; fails if a retry makes no sense.
+    pub(super) async fn handle_checkout_error(
+        &mut self,
+        target: &Target,
+        err: CheckoutError,
+        started: Time,
+    ) -> Result<(), Failure> {
+        match err {
+            CheckoutError::Refused(mut failure) => {
+                failure.detail = format!("{} {}", target.place_label(), failure.detail);
+                Err(failure)
+            }
+            CheckoutError::Connection(err) => {
+                self.handle_connection_error(target, &err, started).await
+            }
         }
     }
 
--- a/chervildrift/src/relay/autocommit.rs
+++ b/chervildrift/src/relay/autocommit.rs
@@ -64,16 +64,15 @@
     session: &mut Session,
 ) -> Result<AttemptOutcome, Failure> {
     let target = attempts.next_target(statement.access, session).await?;
-    let mut permit = attempts.acquire(&target).await?;
-    let sent_at = clock::now();
-    let connected = attempts
-        .open_connection(&target, &mut permit, session, statement.prepared)
+    let started = clock::now();
+    let opened = attempts
+        .checkout(&target, session, statement.prepared)
         .await;
-    let connection = match connected {
-        Ok(connection) => connection,
+    let mut checkout = match opened {
+        Ok(checkout) => checkout,
         Err(err) => {
             return attempts
-                .handle_connection_error(&target, &err, sent_at)
+                .handle_checkout_error(&target, err, started)
                 .await
                 .map(|()| AttemptOutcome::Retry);
         }
@@ -105,15 +104,15 @@
         attempts.statement_timeout()
     };
     let sent_at = clock::now();
-    let result = connection
+    let result = checkout
         .run_in_session(session, statement.prepared, commands, limit)
         .await;
-    permit.set_completion(if result.is_ok() {
+    checkout.set_completion(if result.is_ok() {
         Completion::Answered
     } else {
         Completion::UpstreamFailed
     });
-    drop(permit);
+    drop(checkout);
     let replies = match result {
         Ok(replies) => replies,
         Err(err) if is_read => {
--- /dev/null
+++ b/chervildrift/src/relay/checkout.rs
@@ -0,0 +1,198 @@
+//! Connections to upstreams for one use: from this VM's own pool or through a holder.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::dispatch::{Completion, Refusal};
+use chervildrift_core::relay::{Code, PreparedStatement, Session};
+use chervildrift_core::types::Upstream;
+use chervildrift_platform::wire::Command;
+
+use super::clock;
+use super::connection::{ConnectionError, Reply};
+use super::link::LinkRefusal;
+use super::metrics::StatementPart;
+use super::node::Node;
+use super::pool::{AcquireRequest, Permit, Pool};
+use super::remote::{RemoteConnection, RemoteError};
+use super::response::Failure;
+
+/// Minimum retry time for callers when a queue is full; some statements finish within it.
+const MIN_QUEUE_RETRY_DELAY: Duration = Duration::from_millis(100);
+
+/// Maximum number of holders asked for one connection.
+pub(super) const MAX_HOLDERS_ASKED: usize = 4;
+
+/// Reason why no connection is available; nothing was sent to the upstream.
+#[derive(Debug)]
+pub(super) enum CheckoutError {
+    /// The statement has to be refused.
+    Refused(Failure),
+    /// The upstream can't be reached or refused the connection.
+    Connection(ConnectionError),
+}
+
+/// Open connection to an upstream, returned when it is dropped.
+#[derive(Debug)]
+pub(super) enum Checkout {
+    /// Connection of this VM.
+    Local(Permit),
+    /// Connection of another VM.
+    Remote(RemoteConnection),
+}
+
+impl Checkout {
+    /// Checks out a connection: from this VM's pool if it is a holder, otherwise from a holder.
+    pub(super) async fn open(
+        node: &Rc<Node>,
+        upstream: &Upstream,
+        request: AcquireRequest,
+        session: &Session,
+        prepared: Option<&PreparedStatement>,
+    ) -> Result<Self, CheckoutError> {
+        let Some(pool) = node.pool(upstream) else {
+            let failure = Failure::new(Code::Busy, "the upstream has gone");
+            return Err(CheckoutError::Refused(failure));
+        };
+        let holders = pool.holders();
+        let vm = &node.settings.vm;
+        if holders.is_holder(vm) {
+            return Self::open_local(node, &pool, request, session, prepared).await;
+        }
+        let failed_at = |peer: &chervildrift_core::relay::Peer| node.links.failed_at(peer.address);
+        let candidates = holders.candidates(vm, clock::now(), failed_at);
+        let started = clock::now();
+        for peer in candidates.iter().take(MAX_HOLDERS_ASKED) {
+            let acquired = RemoteConnection::acquire(
+                &node.links,
+                peer.address,
+                upstream,
+                &request,
+                session,
+                prepared,
+            );
+            match acquired.await {
+                Ok(connection) => {
+                    node.links.clear_failure(peer.address);
+                    pool.record_holder_wait(connection.holder_wait);
+                    node.metrics
+                        .record_part(StatementPart::Queue, clock::now().since(started));
+                    return Ok(Self::Remote(connection));
+                }
+                Err(RemoteError::Refused(LinkRefusal::Busy(detail, wait_ms))) => {
+                    let wait = Duration::from_millis(wait_ms);
+                    pool.record_holder_wait(wait);
+                    return Err(CheckoutError::Refused(busy(upstream, &detail, wait)));
+                }
+                Err(RemoteError::Refused(LinkRefusal::Connection(err))) => {
+                    return Err(CheckoutError::Connection(err));
+                }
+                Err(err) => {
+                    node.metrics.count_holder_failure(&err);
+                    node.links.record_failure(peer.address);
+                }
+            }
+            if clock::now() >= request.deadline {
+                let failure = busy(upstream, "no holder responded", Duration::ZERO);
+                return Err(CheckoutError::Refused(failure));
+            }
+        }
+        // Without any holder that responds, a connection of its own is the only way left.
+        Self::open_local(node, &pool, request, session, prepared).await
+    }
+
+    /// Checks out a connection of this VM's own pool.
+    pub(super) async fn open_local(
+        node: &Rc<Node>,
+        pool: &Rc<Pool>,
+        request: AcquireRequest,
+        session: &Session,
+        prepared: Option<&PreparedStatement>,
+    ) -> Result<Self, CheckoutError> {
+        let started = clock::now();
+        let permit = pool.acquire(request).await;
+        let waited = clock::now().since(started);
+        node.metrics.record_part(StatementPart::Queue, waited);
+        let mut permit = permit.map_err(|refusal: Refusal| {
+            let failure = busy(
+                &pool.upstream(),
+                &refusal.to_string(),
+                refusal.estimated_wait(),
+            );
+            CheckoutError::Refused(failure)
+        })?;
+        let opened = permit.connection(node, session, prepared).await;
+        opened.map_err(CheckoutError::Connection)?;
+        Ok(Self::Local(permit))
+    }
+
+    /// Runs commands in one pipeline after the setup that the session needs.
+    pub(super) async fn run_in_session(
+        &mut self,
+        session: &Session,
+        prepared: Option<&PreparedStatement>,
+        commands: &[Command<'_>],
+        limit: Duration,
+    ) -> Result<Vec<Reply>, ConnectionError> {
+        match self {
+            Self::Local(permit) => {
+                let connection = permit.opened_connection().ok_or_else(closed)?;
+                connection
+                    .run_in_session(session, prepared, commands, limit)
+                    .await
+            }
+            Self::Remote(remote) => remote.run(Some((session, prepared)), commands, limit).await,
+        }
+    }
+
+    /// Runs commands in one pipeline.
+    pub(super) async fn run_pipeline(
+        &mut self,
+        commands: &[Command<'_>],
+        limit: Duration,
+    ) -> Result<Vec<Reply>, ConnectionError> {
+        match self {
+            Self::Local(permit) => {
+                let connection = permit.opened_connection().ok_or_else(closed)?;
+                connection.run_pipeline(commands, limit).await
+            }
+            Self::Remote(remote) => remote.run(None, commands, limit).await,
+        }
+    }
+
+    /// Returns whether the connection is outside a transaction and without outstanding replies.
+    pub(super) fn is_reusable(&mut self) -> bool {
+        match self {
+            Self::Local(permit) => permit
+                .opened_connection()
+                .is_some_and(|it| it.is_reusable()),
+            Self::Remote(remote) => remote.is_reusable(),
+        }
+    }
+
+    /// Returns whether a reply is outstanding, after which the connection can't be used.
+    pub(super) fn has_pending(&mut self) -> bool {
+        match self {
+            Self::Local(permit) => permit.opened_connection().is_none_or(|it| it.has_pending()),
+            Self::Remote(remote) => remote.has_pending(),
+        }
+    }
+
+    /// Sets how the work ended, from which service times are estimated.
+    pub(super) const fn set_completion(&mut self, completion: Completion) {
+        match self {
+            Self::Local(permit) => permit.set_completion(completion),
+            Self::Remote(remote) => remote.set_completion(completion),
+        }
+    }
+}
+
+/// Returns the refusal of a statement that found no free connection.
+fn busy(upstream: &Upstream, detail: &str, wait: Duration) -> Failure {
+    Failure::new(Code::Busy, format!("{upstream}: {detail}"))
+        .retry_after(wait.max(MIN_QUEUE_RETRY_DELAY))
+}
+
+fn closed() -> ConnectionError {
+    ConnectionError::Broken("no connection".into())
+}
--- a/chervildrift/src/relay/confirm.rs
+++ b/chervildrift/src/relay/confirm.rs
@@ -9,13 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Code, ReplicationState};
+use chervildrift_core::relay::{Code, Peer, ReplicationState};
 use chervildrift_core::types::{LogPosition, Service, Upstream};
 use futures::future::join_all;
 use slog::warn;
 use tokio::time::{sleep, timeout};
 
+use super::checkout::MAX_HOLDERS_ASKED;
 use super::clock;
+use super::link::{LinkRequest, LinkResponse, ReceiptMessage};
 use super::log_quotas::RequestEvent;
 use super::metrics::StatementPart;
 use super::node::Node;
@@ -29,6 +31,9 @@
 /// Delay between polls; about the time that a commit takes to a replica in another region.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Delay between polls on behalf of other VMs; a replica is near its holders.
+const HELD_POLL_INTERVAL: Duration = Duration::from_millis(25);
+
 /// Commit that the leader has executed.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Commit<'a> {
@@ -81,14 +86,141 @@
 }
 
 async fn poll_until_received(node: &Rc<Node>, commit: &Commit<'_>) {
-    let mut polls_done = 0;
-    let is_missing = || {
-        let replication = node.with_group(commit.service, |group| {
-            group.replication_state(commit.position)
-        });
-        replication == ReplicationState::Missing
+    let (held, others): (Vec<_>, Vec<_>) = nearest_replicas(node, commit)
+        .into_iter()
+        .partition(|upstream| node.holds(upstream));
+    let awaited = others
+        .iter()
+        .map(|upstream| request_receipt(node, commit, upstream));
+    let awaited = join_all(awaited);
+    if held.is_empty() {
+        let received = await_replication(node, commit);
+        tokio::select! {
+            _answered = awaited => {}
+            () = received => {}
+        }
+        return;
+    }
+    tokio::select! {
+        () = poll_held(node, commit, &held) => {}
+        // Ends early only if a position arrived that confirms the commit.
+        () = async { awaited.await; await_replication(node, commit).await } => {}
+    }
+}
+
+/// Waits until a position that confirms the commit has been recorded.
+async fn await_replication(node: &Rc<Node>, commit: &Commit<'_>) {
+    loop {
+        let advanced = node.replica_advanced.notified();
+        if !is_missing(node, commit) {
+            return;
+        }
+        advanced.await;
+    }
+}
+
+fn is_missing(node: &Rc<Node>, commit: &Commit<'_>) -> bool {
+    let replication = node.with_group(commit.service, |group| {
+        group.replication_state(commit.position)
+    });
+    replication == ReplicationState::Missing
+}
+
+/// Asks a holder of a replica to wait until that has received the commit.
+async fn request_receipt(node: &Rc<Node>, commit: &Commit<'_>, upstream: &Upstream) {
+    let Some(pool) = node.pool(upstream) else {
+        return;
+    };
+    let failed_at = |peer: &Peer| node.links.failed_at(peer.address);
+    let candidates = pool
+        .holders()
+        .candidates(&node.settings.vm, clock::now(), failed_at);
+    let message = LinkRequest::AwaitReceived(ReceiptMessage {
+        service: commit.service.clone(),
+        upstream: upstream.clone(),
+        position: commit.position,
+        limit_ms: node.settings.confirm_ms,
+    });
+    for peer in candidates.iter().take(MAX_HOLDERS_ASKED) {
+        let exchange = async {
+            let mut link = node.links.take(peer.address).await.ok()?;
+            link.send(&message).await.ok()?;
+            match link.receive().await? {
+                LinkResponse::Position(position) => {
+                    node.links.put(peer.address, link);
+                    position
+                }
+                _ => None,
+            }
+        };
+        if let Some(position) = exchange.await {
+            node.with_group(commit.service, |group| {
+                group.record_received(upstream, position);
+            });
+            node.replica_advanced.notify_waiters();
+            return;
+        }
+    }
+}
+
+/// Waits on behalf of another VM until a replica has received a commit; returns the position that
+/// the replica has received by then, if any is known.
+pub(super) async fn await_receipt(
+    node: &Rc<Node>,
+    message: &ReceiptMessage,
+) -> Option<LogPosition> {
+    let received = || {
+        node.with_group(&message.service, |group| {
+            group.received_position(&message.upstream)
+        })
+    };
+    if !node.holds(&message.upstream) {
+        return None;
+    }
+    let wait = async {
+        let mut polls_done = 0;
+        while received().is_none_or(|position| !position.covers(message.position)) {
+            let acquired = node
+                .polled_replicas
+                .borrow_mut()
+                .insert(message.upstream.clone());
+            if !acquired {
+                node.replica_advanced.notified().await;
+                continue;
+            }
+            let _guard = ReplicaGuard {
+                node,
+                upstream: &message.upstream,
+            };
+            if polls_done > 0 {
+                sleep(HELD_POLL_INTERVAL).await;
+            }
+            poll_replica(node, &message.service, &message.upstream, polls_done).await;
+            polls_done += 1;
+        }
     };
-    while is_missing() {
+    // After the timeout the other VM learns the position known by then.
+    let _received = timeout(Duration::from_millis(message.limit_ms), wait).await;
+    received()
+}
+
+/// Marks a replica as being polled until dropped, so that only one task polls it at a time.
+struct ReplicaGuard<'a> {
+    node: &'a Node,
+    upstream: &'a Upstream,
+}
+
+impl Drop for ReplicaGuard<'_> {
+    fn drop(&mut self) {
+        self.node.polled_replicas.borrow_mut().remove(self.upstream);
+        self.node.replica_advanced.notify_waiters();
+    }
+}
+
+/// Polls the replicas that this VM holds connections to.
+async fn poll_held(node: &Rc<Node>, commit: &Commit<'_>, replicas: &[Upstream]) {
+    let mut polls_done = 0;
+    while is_missing(node, commit) {
         let acquired = node
             .confirming_services
             .borrow_mut()
@@ -98,7 +230,7 @@
                 node,
                 service: commit.service,
             };
-            poll_replicas(node, commit, polls_done).await;
+            poll_replicas(node, commit, replicas, polls_done).await;
             polls_done += 1;
         } else {
             // Another task polls for a commit of the same service.
@@ -124,11 +256,8 @@
     }
 }
 
-/// Polls the replicas, only the nearest one at first and then all.
-///
-/// A query for the applied position takes no slot at the upstream. A query for the received
-/// position, which may be ahead of it, takes one, so only later polls use it.
-async fn poll_replicas(node: &Rc<Node>, commit: &Commit<'_>, polls_done: u32) {
+/// Returns the replicas of the commit's service, nearest first.
+fn nearest_replicas(node: &Rc<Node>, commit: &Commit<'_>) -> Vec<Upstream> {
     let mut replicas: Vec<(Duration, Upstream)> = {
         let directory = node.directory.borrow();
         let replicas = directory.replicas(commit.service, Some(commit.leader));
@@ -140,20 +269,39 @@
             .collect()
     };
     replicas.sort();
+    replicas.into_iter().map(|(_, upstream)| upstream).collect()
+}
+
+/// Polls the replicas, only the nearest one at first and then all.
+async fn poll_replicas(
+    node: &Rc<Node>,
+    commit: &Commit<'_>,
+    replicas: &[Upstream],
+    polls_done: u32,
+) {
+    let mut polled = replicas;
     if polls_done == 0 {
-        replicas.truncate(1);
+        polled = &replicas[..1];
     } else {
         sleep(POLL_INTERVAL).await;
     }
-    let polls = replicas.iter().map(|(_, upstream)| async move {
-        if polls_done >= APPLIED_POLLS {
-            observe_replica(node, commit.service, upstream).await;
-        } else if let Some(last) = query_applied(node, upstream).await {
-            node.with_group(commit.service, |group| {
-                group.record_received(upstream, last);
-            });
-            node.replica_advanced.notify_waiters();
-        }
-    });
+    let polls = polled
+        .iter()
+        .map(|upstream| poll_replica(node, commit.service, upstream, polls_done));
     join_all(polls).await;
 }
+
+/// Polls one replica.
+///
+/// A query for the applied position takes no slot at the upstream. A query for the received
+/// position, which may be ahead of it, takes one, so only later polls use it.
+async fn poll_replica(node: &Rc<Node>, service: &Service, upstream: &Upstream, polls_done: u32) {
+    if polls_done >= APPLIED_POLLS {
+        observe_replica(node, service, upstream).await;
+    } else if let Some(last) = query_applied(node, upstream).await {
+        node.with_group(service, |group| {
+            group.record_received(upstream, last);
+        });
+        node.replica_advanced.notify_waiters();
+    }
+}
--- a/chervildrift/src/relay/connection.rs
+++ b/chervildrift/src/relay/connection.rs
@@ -13,6 +13,7 @@
 };
 use futures::StreamExt;
 use quick_error::quick_error;
+use serde::{Deserialize, Serialize};
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -35,7 +36,7 @@
 
 quick_error! {
     /// Reason why a connection can't be opened or used.
-    #[derive(Clone, Debug)]
+    #[derive(Clone, Debug, Deserialize, Serialize)]
     pub enum ConnectionError {
         /// The TCP connection failed.
         ConnectFailed(reason: String) {
@@ -61,7 +62,7 @@
 }
 
 /// Reply of an upstream to one command.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub(super) struct Reply {
     /// Rows as the upstream sent them.
     pub rows: Vec<String>,
--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -16,9 +16,9 @@
 use super::leases::{acquire_lease, decode_record, encode_record, lease_key};
 use super::node::Node;
 use super::orders::{Orders, PROMOTION_DURATION};
-use super::peers;
-use super::presence::{TABLE, live_peers, row_key};
+use super::presence::{TABLE, live_observers, row_key};
 use super::selection::LeaderSelection;
+use super::view;
 
 /// Interval at which the votes in the store are counted.
 const VOTE_POLL_INTERVAL: Duration = Duration::from_millis(150);
@@ -122,10 +122,7 @@
         if !self.planned {
             self.write_vote(records.listing.now_ms).await?;
         }
-        let live: Vec<Vm> = live_peers(&records.listing)
-            .into_iter()
-            .map(|it| it.vm)
-            .collect();
+        let live: Vec<Vm> = live_observers(&records.listing);
         let state = ElectionState {
             leader: self.leader,
             planned: self.planned,
@@ -229,10 +226,7 @@
             return;
         }
         if !self.planned {
-            // Other VMs needed for a majority, since this VM agrees already.
-            let required = self.node.vm_count.get() / 2;
-            let agreement =
-                peers::collect_agreement(self.node, self.service, self.leader, required);
+            let agreement = view::collect_agreement(self.node, self.service, self.leader);
             if !timeout(VOTE_TIMEOUT, agreement).await.unwrap_or(false) {
                 return;
             }
--- /dev/null
+++ b/chervildrift/src/relay/holder.rs
@@ -0,0 +1,173 @@
+//! Holder's side of links: runs the statements of other VMs on this VM's connections.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::relay::{Code, Session};
+use chervildrift_platform::wire::Command;
+use tokio::time::sleep;
+
+use super::checkout::{Checkout, CheckoutError};
+use super::clock;
+use super::confirm::await_receipt;
+use super::connection::ConnectionError;
+use super::link::{
+    AcquireMessage, Link, LinkCommand, LinkRefusal, LinkRequest, LinkResponse, RunMessage,
+    SessionState,
+};
+use super::node::Node;
+use super::pool::AcquireRequest;
+use super::stop::StopPhase;
+use super::transaction::ROLLBACK_TIMEOUT;
+use super::view;
+
+/// Time after which the other VM is told that its request is queued.
+const QUEUED_DELAY: Duration = Duration::from_millis(50);
+
+/// Serves a link until it ends, beginning with its first request.
+pub(super) async fn serve(node: &Rc<Node>, mut link: Link, first: LinkRequest) {
+    let mut next = Some(first);
+    while let Some(request) = next {
+        let served = match request {
+            LinkRequest::Acquire(message) => lend(node, &mut link, message).await,
+            LinkRequest::View(request) => {
+                let view = Box::new(view::cached_view(node, &request));
+                link.send(&LinkResponse::View(view)).await.is_ok()
+            }
+            LinkRequest::AwaitReceived(message) => {
+                let position = await_receipt(node, &message).await;
+                let response = LinkResponse::Position(position);
+                link.send(&response).await.is_ok()
+            }
+            // Nothing is acquired outside `lend`.
+            LinkRequest::Run(_) | LinkRequest::Release(_) => false,
+        };
+        if !served {
+            return;
+        }
+        next = link.receive().await;
+    }
+}
+
+/// Lends a connection over the link; returns whether the link may be used again.
+async fn lend(node: &Rc<Node>, link: &mut Link, message: AcquireMessage) -> bool {
+    let loan_count = &node.loan_count;
+    loan_count.set(loan_count.get() + 1);
+    let served = match acquire(node, link, message).await {
+        Some(Ok(mut checkout)) => {
+            let wait_ms = 0;
+            let granted = link.send(&LinkResponse::Granted(wait_ms)).await;
+            granted.is_ok() && run_until_release(link, &mut checkout).await
+        }
+        Some(Err(refusal)) => link.send(&LinkResponse::Refused(refusal)).await.is_ok(),
+        None => false,
+    };
+    loan_count.set(loan_count.get() - 1);
+    served
+}
+
+/// Acquires a connection; `None` if the link ends meanwhile.
+async fn acquire(
+    node: &Rc<Node>,
+    link: &mut Link,
+    message: AcquireMessage,
+) -> Option<Result<Checkout, LinkRefusal>> {
+    if *node.stop_phase.borrow() > StopPhase::Serving {
+        return Some(Err(LinkRefusal::Stopping));
+    }
+    let pool = node.pool(&message.upstream);
+    let Some(pool) = pool.filter(|it| it.holders().may_hold(&node.settings.vm)) else {
+        return Some(Err(LinkRefusal::NotHolder));
+    };
+    let request = AcquireRequest {
+        kind: message.kind,
+        caller: message.caller,
+        deadline: clock::now() + Duration::from_millis(message.remaining_ms),
+    };
+    let session = Session::with_variables(message.state.variables);
+    let prepared = message.state.prepared.as_ref();
+    let opening = Checkout::open_local(node, &pool, request, &session, prepared);
+    tokio::pin!(opening);
+    let mut queued = false;
+    let opened = loop {
+        tokio::select! {
+            biased;
+            opened = &mut opening => break opened,
+            () = sleep(QUEUED_DELAY), if !queued => {
+                link.send(&LinkResponse::Queued).await.ok()?;
+                queued = true;
+            }
+            // The other VM sends nothing before the response unless it gives up.
+            _ended = link.receive::<LinkRequest>() => return None,
+        }
+    };
+    Some(opened.map_err(|err| match err {
+        CheckoutError::Refused(failure) => {
+            let retry = failure.retry_delay.unwrap_or_default();
+            LinkRefusal::Busy(failure.detail, retry.as_millis() as u64)
+        }
+        CheckoutError::Connection(err) => LinkRefusal::Connection(err),
+    }))
+}
+
+/// Runs commands of the other VM until it returns the connection or the link ends; rolls back a
+/// transaction that is open then.
+async fn run_until_release(link: &mut Link, checkout: &mut Checkout) -> bool {
+    let served = loop {
+        match link.receive().await {
+            Some(LinkRequest::Run(message)) => {
+                let result = run_commands(checkout, &message).await;
+                let failed = result.is_err();
+                let response = match result {
+                    Ok(replies) => LinkResponse::Replies(replies),
+                    Err(err) => LinkResponse::Failed(err),
+                };
+                let sent = link.send(&response).await.is_ok();
+                if !sent || failed {
+                    break sent;
+                }
+            }
+            Some(LinkRequest::Release(completion)) => {
+                checkout.set_completion(completion);
+                break true;
+            }
+            _ => break false,
+        }
+    };
+    if !checkout.is_reusable() && !checkout.has_pending() {
+        // Without a reply the connection stays pending and is closed when it is returned.
+        let _answered = checkout
+            .run_pipeline(&[Command::Rollback], ROLLBACK_TIMEOUT)
+            .await;
+    }
+    served
+}
+
+async fn run_commands(
+    checkout: &mut Checkout,
+    message: &RunMessage,
+) -> Result<Vec<super::connection::Reply>, ConnectionError> {
+    let commands: Vec<Command<'_>> = message
+        .commands
+        .iter()
+        .map(LinkCommand::as_command)
+        .collect();
+    if commands.is_empty() {
+        return Err(ConnectionError::Refused(
+            Code::Malformed,
+            "no command".into(),
+        ));
+    }
+    let limit = Duration::from_millis(message.limit_ms);
+    let Some(SessionState {
+        variables,
+        prepared,
+    }) = message.state.clone()
+    else {
+        return checkout.run_pipeline(&commands, limit).await;
+    };
+    let session = Session::with_variables(variables);
+    checkout
+        .run_in_session(&session, prepared.as_ref(), &commands, limit)
+        .await
+}
--- a/chervildrift/src/relay/leader_monitor.rs
+++ b/chervildrift/src/relay/leader_monitor.rs
@@ -16,6 +16,7 @@
 use slog::info;
 use tokio::time::sleep;
 
+use super::checkout::{Checkout, CheckoutError};
 use super::clock;
 use super::connection::ConnectionError;
 use super::failover;
@@ -35,6 +36,10 @@
 /// does no harm.
 const SAMPLE_REFRESH_AGE: Duration = Duration::from_millis(350);
 
+/// Age of the newest log sample from which a VM that receives samples from observers probes the
+/// leader itself; several views have been lost then.
+const OBSERVED_REFRESH_AGE: Duration = Duration::from_millis(1_100);
+
 /// Timeout for a probe, on an open connection or for acquiring one.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -60,6 +65,9 @@
             }
         }
         last_check = now;
+        if !node.is_settled() {
+            continue;
+        }
         let services = node.routes.borrow().services();
         for service in services {
             check_service(&node, &tasks, &service, now);
@@ -80,14 +88,19 @@
             group.needs_failover(now),
         )
     });
+    let refresh_age = if node.follows_store() {
+        SAMPLE_REFRESH_AGE
+    } else {
+        OBSERVED_REFRESH_AGE
+    };
     match &leader {
-        Some(leader) if age.is_none_or(|age| age >= SAMPLE_REFRESH_AGE) => {
+        Some(leader) if age.is_none_or(|age| age >= refresh_age) => {
             start_probe(node, tasks, service, leader.clone());
         }
         Some(_) => {}
         None => node.with_group(service, |group| group.record_leaderless(now)),
     }
-    if leader.is_none() || suspected {
+    if node.follows_store() && (leader.is_none() || suspected) {
         // Another upstream may lead without having reported it, for example while the store is
         // unavailable.
         let known: Vec<Upstream> = {
@@ -99,11 +112,17 @@
             start_probe(node, tasks, service, upstream);
         }
     }
-    if let Some(candidate) = node.leader_candidate(service) {
+    if node.follows_store()
+        && let Some(candidate) = node.leader_candidate(service)
+    {
         start_probe(node, tasks, service, candidate);
     }
     let is_leaving = |leader: &Upstream| node.directory.borrow().is_leaving(now, leader);
     let planned = leader.as_ref().is_some_and(is_leaving);
+    // A VM that is no longer an observer still revokes the orders that it gave.
+    if !node.is_observer() && !node.leases.borrow().contains_key(service) {
+        return;
+    }
     if planned || suspected || leader_at_risk(node, service).is_some() {
         start_failover(node, tasks, service, leader, planned);
     }
@@ -131,23 +150,25 @@
     let Some(pool) = node.pool(upstream) else {
         return;
     };
-    let Ok(mut permit) = pool.acquire(probe_request()).await else {
-        return;
-    };
     let session = Session::default();
-    let connection = match permit.connection(node, &session, None).await {
-        Ok(connection) => connection,
+    let opened = Checkout::open(node, upstream, probe_request(), &session, None).await;
+    let mut checkout = match opened {
+        Ok(checkout) => checkout,
         // An upstream that refuses a connection is alive.
-        Err(ConnectionError::Refused(..)) => return,
-        Err(_) => {
+        Err(
+            CheckoutError::Refused(_) | CheckoutError::Connection(ConnectionError::Refused(..)),
+        ) => {
+            return;
+        }
+        Err(CheckoutError::Connection(_)) => {
             node.with_group(service, |group| group.record_miss(upstream));
             return;
         }
     };
     let sent_at = clock::now();
     let commands = [Command::Begin(Access::Write, None), Command::Rollback];
-    let result = connection.run_pipeline(&commands, PROBE_TIMEOUT).await;
-    drop(permit);
+    let result = checkout.run_pipeline(&commands, PROBE_TIMEOUT).await;
+    drop(checkout);
     let Ok(replies) = result else {
         node.with_group(service, |group| group.record_miss(upstream));
         pool.close_unused_since(sent_at);
--- a/chervildrift/src/relay/leases.rs
+++ b/chervildrift/src/relay/leases.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use super::node::Node;
-use super::presence::{live_peers, row_key};
+use super::presence::{live_observers, row_key};
 
 /// Number of attempts to write a lease when calls fail or responses are lost.
 const WRITE_ATTEMPTS: u32 = 6;
@@ -75,7 +75,7 @@
 /// The VM that is first in a service's order acquires the lease once the holder no longer runs. A
 /// VM that was restarted takes over the leases of its previous process.
 pub(super) async fn maintain_leases(node: &Node, listing: &Listing) {
-    let live: Vec<Vm> = live_peers(listing).into_iter().map(|it| it.vm).collect();
+    let live: Vec<Vm> = live_observers(listing);
     let services = node.routes.borrow().services();
     for service in services {
         let key = lease_key(&service);
--- /dev/null
+++ b/chervildrift/src/relay/link.rs
@@ -0,0 +1,316 @@
+//! Links to other VMs: messages, and idle links that are kept open.
+//!
+//! A link is a TCP connection that carries one message a line. It is used for one purpose at a
+//! time, such as one connection to an upstream, so that its end tells the other VM that the purpose
+//! is gone.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use chervildrift_core::dispatch::Completion;
+use chervildrift_core::relay::{
+    Access, CachedView, PreparedStatement, SessionVariables, ViewRequest,
+};
+use chervildrift_core::types::{Caller, Kind, LogPosition, Service, Term, Time, Upstream};
+use chervildrift_platform::wire::Command;
+use futures::StreamExt;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LinesCodec};
+
+use super::clock;
+use super::connection::{ConnectionError, Reply};
+
+/// Maximum length of a message; enough for a configuration with some thousand routes.
+pub(super) const MAX_MESSAGE_BYTES: usize = 4 << 20;
+
+/// Timeout for connecting to another VM; several times the longest network delay between regions.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time after which an idle link is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Idle time before the first TCP keepalive probe, and interval between probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Number of unanswered keepalive probes after which a link counts as dead.
+const KEEPALIVE_PROBES: u32 = 2;
+
+/// Message to another VM.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum LinkRequest {
+    /// Requests a connection to an upstream.
+    #[serde(rename = "a")]
+    Acquire(AcquireMessage),
+    /// Runs commands on the acquired connection.
+    #[serde(rename = "r")]
+    Run(RunMessage),
+    /// Returns the acquired connection.
+    #[serde(rename = "f")]
+    Release(Completion),
+    /// Requests the cached view of the VM.
+    #[serde(rename = "v")]
+    View(ViewRequest),
+    /// Waits until a replica has received a commit.
+    #[serde(rename = "c")]
+    AwaitReceived(ReceiptMessage),
+}
+
+/// Properties by which a requested connection is scheduled and chosen.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct AcquireMessage {
+    /// Upstream to connect to.
+    pub upstream: Upstream,
+    /// Kind of the statement.
+    pub kind: Kind,
+    /// Caller that sent the statement.
+    pub caller: Caller,
+    /// Time in which the statement must finish, in milliseconds.
+    pub remaining_ms: u64,
+    /// Session in which the first commands run.
+    pub state: SessionState,
+}
+
+/// Part of a session that a connection needs before a statement of the session runs on it.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub(super) struct SessionState {
+    /// Variables of the session.
+    #[serde(default, skip_serializing_if = "SessionVariables::is_empty")]
+    pub variables: SessionVariables,
+    /// Prepared statement that the commands execute.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub prepared: Option<PreparedStatement>,
+}
+
+/// Commands to run on an acquired connection.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct RunMessage {
+    /// Session in which the commands run; `None` for commands that need no session.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub state: Option<SessionState>,
+    /// Commands to run in one pipeline.
+    pub commands: Vec<LinkCommand>,
+    /// Time limit in milliseconds.
+    pub limit_ms: u64,
+}
+
+/// Commit for whose receipt by a replica another VM waits.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) struct ReceiptMessage {
+    /// Service of the replica.
+    pub service: Service,
+    /// Replica that has to receive the commit.
+    pub upstream: Upstream,
+    /// Log position of the commit.
+    pub position: LogPosition,
+    /// Time limit in milliseconds.
+    pub limit_ms: u64,
+}
+
+/// Command for an upstream as it is sent to another VM.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum LinkCommand {
+    /// Corresponds to [`Command::Begin`].
+    Begin(Access, Option<LogPosition>),
+    /// Corresponds to [`Command::Rollback`].
+    Rollback,
+    /// Corresponds to [`Command::Status`].
+    Status,
+    /// Corresponds to [`Command::Fence`].
+    Fence(Term),
+    /// Corresponds to [`Command::Unfence`].
+    Unfence,
+    /// Corresponds to [`Command::Run`].
+    Run(Box<str>, Option<LogPosition>, Box<str>),
+}
+
+/// Message from another VM.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum LinkResponse {
+    /// The request is being processed.
+    #[serde(rename = "q")]
+    Queued,
+    /// A connection was acquired; also tells the current wait for one, in milliseconds.
+    #[serde(rename = "g")]
+    Granted(u64),
+    /// No connection was acquired and nothing was sent to the upstream.
+    #[serde(rename = "n")]
+    Refused(LinkRefusal),
+    /// Replies of the upstream.
+    #[serde(rename = "r")]
+    Replies(Vec<Reply>),
+    /// The connection failed while commands were run on it.
+    #[serde(rename = "e")]
+    Failed(ConnectionError),
+    /// Cached view of the VM.
+    #[serde(rename = "v")]
+    View(Box<CachedView>),
+    /// Position that a replica has received, if it is known.
+    #[serde(rename = "p")]
+    Position(Option<LogPosition>),
+}
+
+/// Reason why another VM did not provide a connection.
+#[derive(Debug, Deserialize, Serialize)]
+pub(super) enum LinkRefusal {
+    /// The scheduler refused the request; with the time after which to retry in milliseconds.
+    Busy(String, u64),
+    /// The VM holds no connections to the upstream.
+    NotHolder,
+    /// The VM is stopping.
+    Stopping,
+    /// The upstream can't be reached or refused the connection.
+    Connection(ConnectionError),
+}
+
+impl LinkCommand {
+    /// Returns the command as it is sent to the upstream.
+    pub(super) fn as_command(&self) -> Command<'_> {
+        match self {
+            Self::Begin(access, position) => Command::Begin(*access, *position),
+            Self::Rollback => Command::Rollback,
+            Self::Status => Command::Status,
+            Self::Fence(term) => Command::Fence(*term),
+            Self::Unfence => Command::Unfence,
+            Self::Run(id, min_position, text) => Command::Run {
+                id,
+                min_position: *min_position,
+                text,
+            },
+        }
+    }
+
+    /// Converts a command; `None` for setup steps, which the holder derives from the session.
+    pub(super) fn from_command(command: &Command<'_>) -> Option<Self> {
+        match *command {
+            Command::Setup(_) => None,
+            Command::Begin(access, position) => Some(Self::Begin(access, position)),
+            Command::Rollback => Some(Self::Rollback),
+            Command::Status => Some(Self::Status),
+            Command::Fence(term) => Some(Self::Fence(term)),
+            Command::Unfence => Some(Self::Unfence),
+            Command::Run {
+                id,
+                min_position,
+                text,
+            } => Some(Self::Run(id.into(), min_position, text.into())),
+        }
+    }
+}
+
+/// Open link to another VM.
+#[derive(Debug)]
+pub(super) struct Link {
+    framed: Framed<TcpStream, LinesCodec>,
+    last_used: Time,
+}
+
+impl Link {
+    /// Wraps a connected stream.
+    pub(super) fn new(framed: Framed<TcpStream, LinesCodec>) -> Self {
+        Self {
+            framed,
+            last_used: clock::now(),
+        }
+    }
+
+    /// Connects to another VM.
+    async fn connect(address: SocketAddr) -> std::io::Result<Self> {
+        let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = connect.map_err(std::io::Error::from)??;
+        stream.set_nodelay(true)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_INTERVAL)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_PROBES);
+        SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
+        let codec = LinesCodec::new_with_max_length(MAX_MESSAGE_BYTES);
+        Ok(Self::new(Framed::new(stream, codec)))
+    }
+
+    /// Sends a message.
+    pub(super) async fn send(&mut self, message: &impl Serialize) -> std::io::Result<()> {
+        let mut out = serde_json::to_vec(message)?;
+        out.push(b'\n');
+        self.last_used = clock::now();
+        self.framed.get_mut().write_all(&out).await
+    }
+
+    /// Receives a message; `None` if the link has ended or the message is malformed.
+    ///
+    /// Cancelling this loses no part of a message.
+    pub(super) async fn receive<T: DeserializeOwned>(&mut self) -> Option<T> {
+        let line = self.framed.next().await?.ok()?;
+        serde_json::from_str(&line).ok()
+    }
+
+    /// Returns whether an idle link is still open, as far as the local socket knows.
+    fn is_open(&self) -> bool {
+        let read = self.framed.get_ref().try_read(&mut [0]);
+        read.is_err_and(|err| err.kind() == std::io::ErrorKind::WouldBlock)
+    }
+}
+
+/// Links to other VMs that are idle, and VMs that gave no response.
+#[derive(Debug, Default)]
+pub(super) struct Links {
+    idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
+    failures: RefCell<HashMap<SocketAddr, Time>>,
+}
+
+impl Links {
+    /// Takes an idle link to a VM, or opens one.
+    pub(super) async fn take(&self, address: SocketAddr) -> std::io::Result<Link> {
+        while let Some(link) = self.pop_idle(address) {
+            if link.is_open() {
+                return Ok(link);
+            }
+        }
+        Link::connect(address).await
+    }
+
+    fn pop_idle(&self, address: SocketAddr) -> Option<Link> {
+        self.idle.borrow_mut().get_mut(&address)?.pop()
+    }
+
+    /// Keeps a link for later use.
+    pub(super) fn put(&self, address: SocketAddr, link: Link) {
+        let mut idle = self.idle.borrow_mut();
+        idle.entry(address).or_default().push(link);
+    }
+
+    /// Closes links that have been idle for longer than the timeout.
+    pub(super) fn close_expired(&self) {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        idle.retain(|_, links| {
+            links.retain(|link| now.since(link.last_used) < IDLE_TIMEOUT);
+            !links.is_empty()
+        });
+        self.failures
+            .borrow_mut()
+            .retain(|_, at| now.since(*at) < IDLE_TIMEOUT);
+    }
+
+    /// Records that a VM gave no response; its idle links are closed.
+    pub(super) fn record_failure(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+        self.failures.borrow_mut().insert(address, clock::now());
+    }
+
+    /// Records that a VM gave a response.
+    pub(super) fn clear_failure(&self, address: SocketAddr) {
+        self.failures.borrow_mut().remove(&address);
+    }
+
+    /// Returns the time at which a VM last gave no response.
+    pub(super) fn failed_at(&self, address: SocketAddr) -> Option<Time> {
+        self.failures.borrow().get(&address).copied()
+    }
+}
--- a/chervildrift/src/relay/metrics.rs
+++ b/chervildrift/src/relay/metrics.rs
@@ -11,8 +11,10 @@
 };
 
 use super::clock;
+use super::link::LinkRefusal;
 use super::log_quotas::RequestEvent;
 use super::node::Node;
+use super::remote::RemoteError;
 
 /// Bucket bounds of the latency histograms.
 const LATENCY_BOUNDS_SECONDS: [f64; 12] = [
@@ -51,6 +53,8 @@
     pub promotions: IntCounterVec,
     /// Calls that follow a table of the store, by table and result.
     pub store_calls: IntCounterVec,
+    /// Holders that did not provide a connection, by reason.
+    holder_failures: IntCounterVec,
     /// Connections opened through another VM, by upstream.
     pub tunnels: IntCounterVec,
     dropped_lines: IntCounterVec,
@@ -125,6 +129,11 @@
                 "Calls that follow a table",
                 &["table", "result"],
             )?,
+            holder_failures: counters(
+                "holder_failures_total",
+                "Holders that provided no connection",
+                &["reason"],
+            )?,
             tunnels: counters("detours_total", "Connections through peers", &["upstream"])?,
             dropped_lines: counters(
                 "dropped_lines_total",
@@ -164,6 +173,16 @@
         dropped.inc();
     }
 
+    /// Counts a holder that provided no connection.
+    pub(super) fn count_holder_failure(&self, err: &RemoteError) {
+        let reason = match err {
+            RemoteError::Unreachable => "unreachable",
+            RemoteError::Refused(LinkRefusal::Stopping) => "stopping",
+            RemoteError::Refused(_) => "not_holder",
+        };
+        self.holder_failures.with_label_values(&[reason]).inc();
+    }
+
     /// Counts a retry.
     pub(super) fn count_retry(&self, kind: &Kind, reason: &str) {
         self.retries
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -6,13 +6,16 @@
 
 mod attempts;
 mod autocommit;
+mod checkout;
 mod clock;
 mod confirm;
 mod connection;
 mod error;
 mod failover;
+mod holder;
 mod leader_monitor;
 mod leases;
+mod link;
 mod listener;
 mod log_quotas;
 mod metrics;
@@ -21,6 +24,7 @@
 mod peers;
 mod pool;
 mod presence;
+mod remote;
 mod replicas;
 mod response;
 mod selection;
@@ -29,6 +33,7 @@
 mod stop;
 mod store_feed;
 mod transaction;
+mod view;
 
 pub use self::error::Error;
 pub use self::start::run;
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use chervildrift_core::config::RelaySettings;
+use chervildrift_core::dispatch::Policy;
 use chervildrift_core::relay::{
-    Authority, Code, Directory, DirectoryEntry, Group, Peer, RouteTable, Routes, admission_policy,
-    connections_per_vm,
+    Authority, Code, Directory, DirectoryEntry, Group, HolderPlan, HolderSet, Peer, RouteTable,
+    Routes, admission_policy, observers,
 };
 use chervildrift_core::types::{LogPosition, Service, Time, Upstream, Zone};
 use chervildrift_platform::promotion::PromotionClient;
@@ -20,6 +21,7 @@
 use tokio::time::timeout;
 
 use super::clock;
+use super::link::Links;
 use super::log_quotas::{LogQuotas, RequestEvent};
 use super::metrics::Metrics;
 use super::pool::Pool;
@@ -38,6 +40,9 @@
 /// Time after which a caller should retry when no leader was found; a failover takes a few seconds.
 const LEADER_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// Time from the start after which a VM that can't list the running VMs reads the store itself.
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Connection limit of an upstream if the configuration sets none.
 const DEFAULT_CONNECTION_LIMIT: usize = 8;
 
@@ -61,6 +66,20 @@
     pub peers: RefCell<Vec<Peer>>,
     /// Number of VMs that share the connection limits, including this one.
     pub vm_count: Cell<usize>,
+    /// Whether the running VMs have been listed and this VM is an observer; `None` until then.
+    pub observer: Cell<Option<bool>>,
+    /// Start of the process.
+    pub started: Time,
+    /// Whether the running VMs have been listed once, perhaps before all had started.
+    pub listed_before: Cell<bool>,
+    /// Time of the newest view received from an observer, while this VM is not one itself.
+    pub view_at: Cell<Option<Time>>,
+    /// Links to other VMs.
+    pub links: Rc<Links>,
+    /// Number of connections that this VM lends to other VMs or is about to.
+    pub loan_count: Cell<usize>,
+    /// Replicas whose received positions are being polled for other VMs.
+    pub polled_replicas: RefCell<HashSet<Upstream>>,
     /// Time of the first failed call to the store, while it is unavailable.
     pub outage_start: Cell<Option<Time>>,
     /// Leases under which this VM may order promotions, by service.
@@ -99,13 +118,14 @@
 
     /// Applies a new or changed entry of an upstream.
     pub(super) fn apply_entry(&self, entry: DirectoryEntry) {
-        let policy = self.pool_policy(&entry.service);
         let known = self.pools.borrow().get(&entry.upstream).cloned();
         let old = self.directory.borrow().get(&entry.upstream).cloned();
         if let Some(pool) = known {
             pool.update_entry(&entry);
         } else {
+            let (holders, policy) = self.placement(&entry);
             let pool = Pool::new(entry.clone(), &policy);
+            pool.set_holders(holders);
             self.pools.borrow_mut().insert(entry.upstream.clone(), pool);
         }
         let changed =
@@ -298,38 +318,101 @@
     /// Applies the list of running VMs and redistributes the connections if their number changed.
     pub(super) fn apply_peers(&self, peers: Vec<Peer>) {
         let others = peers.iter().filter(|it| it.vm != self.settings.vm).count();
+        let is_observer = observers(&peers).iter().any(|it| it.vm == self.settings.vm);
+        let changed = *self.peers.borrow() != peers;
         self.peers.replace(peers);
+        if self.observer.replace(Some(is_observer)) != Some(is_observer) {
+            info!(self.log, "role changed"; "event" => "observer", "observer" => is_observer);
+            // The observers' views arrive from now on.
+            self.view_at.set((!is_observer).then(clock::now));
+            self.update_readiness();
+        }
         if self.vm_count.replace(others + 1) != others + 1 {
             info!(self.log, "number of VMs changed"; "event" => "presence", "vms" => others + 1);
+        }
+        if changed {
             self.redistribute_connections();
         }
     }
 
-    /// Recomputes this VM's share of the connections to each upstream.
+    /// Recomputes the holders of each upstream and this VM's share of the connections.
     pub(super) fn redistribute_connections(&self) {
         let entries: Vec<DirectoryEntry> = self.directory.borrow().iter().cloned().collect();
         for entry in entries {
-            let policy = self.pool_policy(&entry.service);
             if let Some(pool) = self.pool(&entry.upstream) {
+                let (holders, policy) = self.placement(&entry);
+                pool.set_holders(holders);
                 pool.apply_policy(&policy);
             }
         }
     }
 
-    fn pool_policy(&self, service: &Service) -> chervildrift_core::dispatch::Policy {
+    /// Returns the holders of an upstream and the scheduling policy of this VM's connections to it.
+    fn placement(&self, entry: &DirectoryEntry) -> (HolderSet, Policy) {
         let routes = self.routes.borrow();
-        let limit = routes.rules(service).map(|rules| rules.connections);
+        let limit = routes.rules(&entry.service).map(|rules| rules.connections);
         let limit = limit.unwrap_or(DEFAULT_CONNECTION_LIMIT);
-        admission_policy(
-            &routes,
-            service,
-            connections_per_vm(limit, self.vm_count.get()),
-        )
+        let plan = HolderPlan::new(limit, self.vm_count.get());
+        let holders = HolderSet::select(
+            &entry.upstream,
+            &entry.zone,
+            &self.settings.regions,
+            &self.peers.borrow(),
+            plan.holders,
+        );
+        let connections = if holders.may_hold(&self.settings.vm) {
+            plan.connections
+        } else {
+            1
+        };
+        let policy = admission_policy(&routes, &entry.service, connections);
+        (holders, policy)
+    }
+
+    /// Returns whether this VM holds connections to an upstream.
+    pub(super) fn holds(&self, upstream: &Upstream) -> bool {
+        let pool = self.pool(upstream);
+        pool.is_some_and(|pool| pool.holders().may_hold(&self.settings.vm))
+    }
+
+    /// Returns whether this VM follows the store and the leaders for other VMs.
+    pub(super) fn is_observer(&self) -> bool {
+        self.observer.get() == Some(true)
+    }
+
+    /// Returns whether this VM has to read the store itself, as an observer or since none responds.
+    pub(super) fn follows_store(&self) -> bool {
+        self.is_settled() && (self.is_observer() || self.view_at.get().is_none())
+    }
+
+    /// Returns whether the role of this VM is known, or has not become known in time.
+    pub(super) fn is_settled(&self) -> bool {
+        self.observer.get().is_some() || clock::now().since(self.started) >= SETTLE_TIMEOUT
+    }
+
+    /// Records a leader and its log position that another VM sampled at `sampled_at`.
+    pub(super) fn merge_sample(
+        &self,
+        service: &Service,
+        sampled_at: Time,
+        leader: &Upstream,
+        position: LogPosition,
+    ) {
+        let changed = self.with_group(service, |group| {
+            let changed = group.merge_sample(clock::now(), sampled_at, leader, position);
+            changed.then(|| group.epoch())
+        });
+        if let Some(epoch) = changed {
+            info!(self.log, "leader changed"; "event" => "leader", "service" => %service,
+                "upstream" => %leader, "reason" => "observed", "epoch" => epoch);
+        }
+        self.state_changed.notify_waiters();
     }
 
     /// Updates the readiness that the balancer checks before it sends callers to this VM.
     pub(super) fn update_readiness(&self) {
         let configured = self.routes.borrow().version() > 0 && self.upstreams_listed.get();
+        let configured = configured && self.is_settled();
         let ready = configured && *self.stop_phase.borrow() == StopPhase::Serving;
         self.ready.store(ready, Ordering::Release);
     }
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -8,7 +8,7 @@
 
 use chervildrift_core::dispatch::{Completion, Job, JobId, Policy, Refusal, Scheduler};
 use chervildrift_core::relay::{
-    Code, ConnectionLimit, DirectoryEntry, Peer, PreparedStatement, Session,
+    Code, ConnectionLimit, DirectoryEntry, HolderSet, Peer, PreparedStatement, Session,
 };
 use chervildrift_core::types::{Caller, Kind, Rank, Service, Time, Upstream};
 use slog::info;
@@ -39,6 +39,10 @@
 #[derive(Debug)]
 pub(super) struct Pool {
     entry: RefCell<DirectoryEntry>,
+    /// VMs that hold connections to the upstream.
+    holders: RefCell<Rc<HolderSet>>,
+    /// Wait for a connection that a holder last reported, and when.
+    holder_wait: Cell<(Duration, Time)>,
     scheduler: RefCell<Scheduler>,
     waiters: RefCell<HashMap<JobId, oneshot::Sender<Permit>>>,
     idle: RefCell<Vec<Connection>>,
@@ -90,6 +94,8 @@
         let limit = ConnectionLimit::new(policy.slots);
         let pool = Rc::new(Self {
             entry: RefCell::new(entry),
+            holders: RefCell::default(),
+            holder_wait: Cell::default(),
             scheduler: RefCell::new(Scheduler::new(policy)),
             policy: RefCell::new(policy.clone()),
             limit: Cell::new(limit),
@@ -119,6 +125,26 @@
         self.entry.replace(entry.clone());
     }
 
+    /// Returns the name of the upstream.
+    pub(super) fn upstream(&self) -> Upstream {
+        self.entry.borrow().upstream.clone()
+    }
+
+    /// Returns the VMs that hold connections to the upstream.
+    pub(super) fn holders(&self) -> Rc<HolderSet> {
+        Rc::clone(&self.holders.borrow())
+    }
+
+    /// Sets the VMs that hold connections to the upstream.
+    pub(super) fn set_holders(&self, holders: HolderSet) {
+        self.holders.replace(Rc::new(holders));
+    }
+
+    /// Records the wait for a connection that a holder reported.
+    pub(super) fn record_holder_wait(&self, wait: Duration) {
+        self.holder_wait.set((wait, clock::now()));
+    }
+
     /// Applies a changed scheduling policy.
     pub(super) fn apply_policy(self: &Rc<Self>, policy: &Policy) {
         let mut limit = self.limit.get();
@@ -187,9 +213,13 @@
         self.rtt.get()
     }
 
-    /// Returns the estimated wait for a permit.
+    /// Returns the estimated wait for a permit, at this VM or as a holder last reported it.
     pub(super) fn estimated_wait(&self, rank: Rank) -> Duration {
-        self.scheduler.borrow().load().ranks[rank.index()].wait
+        let (wait, reported_at) = self.holder_wait.get();
+        // The queue is assumed to have drained by the time since the report.
+        let at_holder = wait.saturating_sub(clock::now().since(reported_at));
+        let own = self.scheduler.borrow().load().ranks[rank.index()].wait;
+        own.max(at_holder)
     }
 
     /// Waits for a permit to use a connection.
--- /dev/null
+++ b/chervildrift/src/relay/remote.rs
@@ -0,0 +1,176 @@
+//! Connection to an upstream that another VM holds.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::dispatch::Completion;
+use chervildrift_core::relay::{PreparedStatement, Session};
+use chervildrift_core::types::Upstream;
+use chervildrift_platform::wire::{Command, TransactionState};
+use tokio::time::timeout;
+
+use super::clock;
+use super::connection::{ConnectionError, Reply};
+use super::link::{
+    AcquireMessage, Link, LinkCommand, LinkRefusal, LinkRequest, LinkResponse, Links, RunMessage,
+    SessionState,
+};
+use super::pool::AcquireRequest;
+
+/// Timeout for the first response to a request; a VM that queues it says so at once.
+const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Time added to a time limit for the way to the other VM and back.
+const TRANSFER_TIME: Duration = Duration::from_millis(100);
+
+/// Reason why another VM provided no connection; nothing was sent to the upstream.
+#[derive(Debug)]
+pub(super) enum RemoteError {
+    /// The VM gave no response.
+    Unreachable,
+    /// The VM refused the request.
+    Refused(LinkRefusal),
+}
+
+/// Connection that another VM holds and has granted to this one.
+#[derive(Debug)]
+pub(super) struct RemoteConnection {
+    links: Rc<Links>,
+    address: SocketAddr,
+    /// Link to the VM, until the connection is returned or has failed.
+    link: Option<Link>,
+    state: TransactionState,
+    completion: Completion,
+    /// Wait for a connection at the holder.
+    pub holder_wait: Duration,
+}
+
+impl RemoteConnection {
+    /// Acquires a connection from another VM.
+    pub(super) async fn acquire(
+        links: &Rc<Links>,
+        address: SocketAddr,
+        upstream: &Upstream,
+        request: &AcquireRequest,
+        session: &Session,
+        prepared: Option<&PreparedStatement>,
+    ) -> Result<Self, RemoteError> {
+        let unreachable = |_err| RemoteError::Unreachable;
+        let mut link = links.take(address).await.map_err(unreachable)?;
+        let remaining = request.deadline.since(clock::now());
+        let message = LinkRequest::Acquire(AcquireMessage {
+            upstream: upstream.clone(),
+            kind: request.kind.clone(),
+            caller: request.caller.clone(),
+            remaining_ms: remaining.as_millis() as u64,
+            state: session_state(session, prepared),
+        });
+        link.send(&message).await.map_err(unreachable)?;
+        let mut limit = RESPONSE_TIMEOUT;
+        loop {
+            let response = timeout(limit, link.receive()).await;
+            match response.map_err(|_elapsed| RemoteError::Unreachable)? {
+                Some(LinkResponse::Queued) => limit = remaining + TRANSFER_TIME,
+                Some(LinkResponse::Granted(wait_ms)) => {
+                    return Ok(Self {
+                        links: Rc::clone(links),
+                        address,
+                        link: Some(link),
+                        state: TransactionState::Idle,
+                        completion: Completion::Abandoned,
+                        holder_wait: Duration::from_millis(wait_ms),
+                    });
+                }
+                Some(LinkResponse::Refused(refusal)) => {
+                    links.put(address, link);
+                    return Err(RemoteError::Refused(refusal));
+                }
+                _ => return Err(RemoteError::Unreachable),
+            }
+        }
+    }
+
+    /// Runs commands in one pipeline, in a session if one is given.
+    pub(super) async fn run(
+        &mut self,
+        session: Option<(&Session, Option<&PreparedStatement>)>,
+        commands: &[Command<'_>],
+        limit: Duration,
+    ) -> Result<Vec<Reply>, ConnectionError> {
+        let Some(mut link) = self.link.take() else {
+            return Err(ConnectionError::Broken("link to the holder lost".into()));
+        };
+        let message = LinkRequest::Run(RunMessage {
+            state: session.map(|(session, prepared)| session_state(session, prepared)),
+            commands: commands
+                .iter()
+                .filter_map(LinkCommand::from_command)
+                .collect(),
+            limit_ms: limit.as_millis() as u64,
+        });
+        let exchange = async {
+            link.send(&message).await.ok()?;
+            link.receive().await
+        };
+        let response = timeout(limit + TRANSFER_TIME, exchange).await;
+        let Ok(response) = response else {
+            self.links.record_failure(self.address);
+            return Err(ConnectionError::NoReply);
+        };
+        match response {
+            Some(LinkResponse::Replies(replies)) => {
+                self.link = Some(link);
+                if let Some(last) = replies.last() {
+                    self.state = last.state;
+                }
+                Ok(replies)
+            }
+            Some(LinkResponse::Failed(err)) => {
+                self.links.put(self.address, link);
+                Err(err)
+            }
+            _ => {
+                self.links.record_failure(self.address);
+                Err(ConnectionError::Broken("link to the holder lost".into()))
+            }
+        }
+    }
+
+    /// Returns whether the connection is outside a transaction and without outstanding replies.
+    pub(super) fn is_reusable(&self) -> bool {
+        self.link.is_some() && self.state == TransactionState::Idle
+    }
+
+    /// Returns whether the link is lost or a reply is outstanding.
+    pub(super) const fn has_pending(&self) -> bool {
+        self.link.is_none()
+    }
+
+    /// Sets how the work on the connection ended.
+    pub(super) const fn set_completion(&mut self, completion: Completion) {
+        self.completion = completion;
+    }
+}
+
+impl Drop for RemoteConnection {
+    fn drop(&mut self) {
+        let Some(mut link) = self.link.take() else {
+            return;
+        };
+        let (links, address, completion) = (Rc::clone(&self.links), self.address, self.completion);
+        tokio::task::spawn_local(async move {
+            // A link that fails here ends, which returns the connection as well.
+            if link.send(&LinkRequest::Release(completion)).await.is_ok() {
+                links.put(address, link);
+            }
+        });
+    }
+}
+
+fn session_state(session: &Session, prepared: Option<&PreparedStatement>) -> SessionState {
+    SessionState {
+        variables: session.variables().clone(),
+        prepared: prepared.cloned(),
+    }
+}
--- a/chervildrift/src/relay/replicas.rs
+++ b/chervildrift/src/relay/replicas.rs
@@ -10,6 +10,7 @@
 use slog::{info, warn};
 use tokio::time::{sleep, timeout};
 
+use super::checkout::Checkout;
 use super::clock;
 use super::connection::Reply;
 use super::leader_monitor::probe_request;
@@ -125,15 +126,10 @@
     commands: &[Command<'_>],
 ) -> Option<Reply> {
     let exchange = async {
-        let mut permit = node.pool(upstream)?.acquire(probe_request()).await.ok()?;
-        let connection = permit
-            .connection(node, &Session::default(), None)
-            .await
-            .ok()?;
-        let replies = connection
-            .run_pipeline(commands, STATUS_TIMEOUT)
-            .await
-            .ok()?;
+        let session = Session::default();
+        let checkout = Checkout::open(node, upstream, probe_request(), &session, None).await;
+        let mut checkout = checkout.ok()?;
+        let replies = checkout.run_pipeline(commands, STATUS_TIMEOUT).await.ok()?;
         replies.into_iter().next()
     };
     timeout(STATUS_TIMEOUT, exchange).await.ok()?
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -22,7 +22,7 @@
 use super::metrics::Metrics;
 use super::node::Node;
 use super::stop::{self, StopPhase};
-use super::{Error, leader_monitor, listener, peers, presence, store_feed};
+use super::{Error, clock, leader_monitor, listener, peers, presence, store_feed, view};
 use crate::http::{self, OperatorEndpoints};
 use crate::wall_clock;
 
@@ -53,7 +53,8 @@
     spawn_local(store_feed::expire_upstreams(Rc::clone(&node)));
     spawn_local(presence::run(Rc::clone(&node)));
     spawn_local(peers::accept(Rc::clone(&node), peer_listener));
-    spawn_local(peers::refresh_view(Rc::clone(&node)));
+    spawn_local(view::refresh(Rc::clone(&node)));
+    spawn_local(view::follow_observers(Rc::clone(&node)));
     spawn_local(leader_monitor::run(Rc::clone(&node)));
     spawn_local(listener::accept(Rc::clone(&node), callers));
     loop {
@@ -90,6 +91,13 @@
         pools: RefCell::default(),
         peers: RefCell::default(),
         vm_count: Cell::new(ASSUMED_VM_COUNT),
+        observer: Cell::default(),
+        started: clock::now(),
+        listed_before: Cell::default(),
+        view_at: Cell::default(),
+        links: Rc::default(),
+        loan_count: Cell::default(),
+        polled_replicas: RefCell::default(),
         outage_start: Cell::default(),
         leases: RefCell::default(),
         session_count: Cell::default(),
--- a/chervildrift/src/relay/stop.rs
+++ b/chervildrift/src/relay/stop.rs
@@ -48,8 +48,11 @@
     let abort_at = start + grace / 2;
     let deadline = start + grace.saturating_sub(SHUTDOWN_RESERVE);
     // Tunnels end when the VMs that use them close their idle connections.
-    let is_busy =
-        |now| node.session_count.get() > 0 || node.tunnel_count.get() > 0 && now < abort_at;
+    let is_busy = |now| {
+        node.session_count.get() > 0
+            || has_loans(node)
+            || node.tunnel_count.get() > 0 && now < abort_at
+    };
     while is_busy(Instant::now()) && Instant::now() < deadline {
         if Instant::now() >= abort_at {
             enter_phase(node, StopPhase::AbortingTransactions);
@@ -59,6 +62,11 @@
     info!(node.log, "stopped"; "event" => "stop", "sessions" => node.session_count.get());
 }
 
+/// Returns whether other VMs use connections of this one.
+fn has_loans(node: &Node) -> bool {
+    node.loan_count.get() > 0
+}
+
 fn enter_phase(node: &Node, phase: StopPhase) {
     if *node.stop_phase.borrow() != phase {
         node.stop_phase.send_replace(phase);
--- a/chervildrift/src/relay/store_feed.rs
+++ b/chervildrift/src/relay/store_feed.rs
@@ -25,6 +25,10 @@
 /// Interval at which lapsed entries are expired.
 const EXPIRY_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Interval at which a VM that receives the views of observers checks whether it has to read the
+/// store itself.
+const ROLE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Lists a table and follows its changes until the process ends.
 async fn follow_table(
     node: Rc<Node>,
@@ -35,6 +39,10 @@
     let mut feed_version = None;
     let mut failures = 0;
     loop {
+        if feed_version.is_some() && !node.follows_store() {
+            sleep(ROLE_CHECK_INTERVAL).await;
+            continue;
+        }
         match fetch_changes(&node, table, &mut feed_version, &on_listing, &on_change).await {
             Ok(()) => {
                 node.metrics
@@ -156,6 +164,8 @@
         let expired = node.directory.borrow_mut().expire(clock::now());
         node.remove_upstreams(&expired);
         node.metrics.update_gauges(&node);
+        node.links.close_expired();
+        node.update_readiness();
         for pool in node.pools.borrow().values() {
             pool.close_expired();
         }
--- a/chervildrift/src/relay/transaction.rs
+++ b/chervildrift/src/relay/transaction.rs
@@ -13,12 +13,12 @@
 use tokio::time::sleep;
 
 use super::attempts::{Attempts, Target};
+use super::checkout::Checkout;
 use super::clock;
 use super::confirm::{Commit, await_confirmation};
 use super::connection::Reply;
 use super::metrics::StatementPart;
 use super::node::Node;
-use super::pool::Permit;
 use super::response::{Failure, Response};
 
 /// Number of retries of a statement for which the upstream was too busy.
@@ -28,7 +28,7 @@
 const BUSY_RETRY_DELAY: Duration = Duration::from_millis(30);
 
 /// Timeout for a rollback, after which the connection is closed instead.
-const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
+pub(super) const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Open transaction.
 pub(super) struct Transaction {
@@ -44,7 +44,7 @@
 /// Upstream and connection to which a transaction is pinned.
 struct PinnedUpstream {
     upstream: Upstream,
-    permit: Permit,
+    checkout: Checkout,
 }
 
 impl Transaction {
@@ -70,14 +70,14 @@
     pub(super) fn expire(&mut self) {
         self.is_expired = true;
         if let Some(pinned) = self.pinned.take() {
-            roll_back_permit(pinned.permit);
+            roll_back_checkout(pinned.checkout);
         }
     }
 
     /// Rolls back the transaction in the background.
     pub(super) fn roll_back(self) {
         if let Some(pinned) = self.pinned {
-            roll_back_permit(pinned.permit);
+            roll_back_checkout(pinned.checkout);
         }
     }
 
@@ -194,12 +194,12 @@
         command: &Command<'_>,
         limit: Duration,
     ) -> Result<Reply, Failure> {
-        let pinned = self.pinned.as_mut();
-        let Some(connection) = pinned.and_then(|it| it.permit.opened_connection()) else {
+        let Some(pinned) = self.pinned.as_mut() else {
             return Err(Failure::new(Code::Aborted, "no connection"));
         };
         let sent_at = clock::now();
-        let result = connection
+        let result = pinned
+            .checkout
             .run_in_session(session, prepared, &[*command], limit)
             .await;
         let elapsed = clock::now().since(sent_at);
@@ -222,39 +222,32 @@
         let mut attempts = Attempts::new(&self.node, &self.route, &self.caller, id);
         loop {
             let target = attempts.next_target(self.access, session).await?;
-            let mut permit = attempts.acquire(&target).await?;
-            if self
-                .begin(&mut attempts, &target, &mut permit, session)
-                .await?
-            {
+            let begun = self.begin(&mut attempts, &target, session).await?;
+            if let Some(checkout) = begun {
                 self.pinned = Some(PinnedUpstream {
                     upstream: target.upstream,
-                    permit,
+                    checkout,
                 });
                 return Ok(());
             }
         }
     }
 
-    /// Sends the begin; returns false if another attempt has to be made.
+    /// Begins the transaction on a connection; `None` if another attempt has to be made.
     async fn begin(
         &self,
         attempts: &mut Attempts<'_>,
         target: &Target,
-        permit: &mut Permit,
         session: &Session,
-    ) -> Result<bool, Failure> {
-        let sent_at = clock::now();
-        let connection = match attempts
-            .open_connection(target, permit, session, None)
-            .await
-        {
-            Ok(connection) => connection,
+    ) -> Result<Option<Checkout>, Failure> {
+        let started = clock::now();
+        let mut checkout = match attempts.checkout(target, session, None).await {
+            Ok(checkout) => checkout,
             Err(err) => {
                 return attempts
-                    .handle_connection_error(target, &err, sent_at)
+                    .handle_checkout_error(target, err, started)
                     .await
-                    .map(|()| false);
+                    .map(|()| None);
             }
         };
         let command = match target.min_position {
@@ -263,25 +256,25 @@
             MinPosition::AtLeast(position) => Command::Begin(Access::Read, Some(position)),
         };
         let sent_at = clock::now();
-        match connection
+        match checkout
             .run_pipeline(&[command], attempts.statement_timeout())
             .await
         {
             Ok(replies) => match replies.into_iter().next() {
                 Some(reply) if reply.result.is_ok() => {
                     attempts.record_leader_position(target, sent_at, reply.position);
-                    Ok(true)
+                    Ok(Some(checkout))
                 }
                 Some(reply) => attempts
                     .handle_refusal(target, reply.result.err(), sent_at)
                     .await
-                    .map(|()| false),
-                None => Ok(false),
+                    .map(|()| None),
+                None => Ok(None),
             },
             Err(err) => attempts
                 .handle_connection_error(target, &err, sent_at)
                 .await
-                .map(|()| false),
+                .map(|()| None),
         }
     }
 }
@@ -292,14 +285,13 @@
 
 /// Rolls back and returns a connection to its pool in the background; closes it if the upstream
 /// does not reply.
-fn roll_back_permit(mut permit: Permit) {
+fn roll_back_checkout(mut checkout: Checkout) {
     tokio::task::spawn_local(async move {
-        if let Some(connection) = permit.opened_connection()
-            && !connection.is_reusable()
-            && !connection.has_pending()
-        {
+        // A holder rolls back by itself when its connection is returned.
+        let is_local = matches!(checkout, Checkout::Local(_));
+        if is_local && !checkout.is_reusable() && !checkout.has_pending() {
             // Without a reply the connection stays pending and is closed with its permit.
-            let _answered = connection
+            let _answered = checkout
                 .run_pipeline(&[Command::Rollback], ROLLBACK_TIMEOUT)
                 .await;
         }
--- /dev/null
+++ b/chervildrift/src/relay/view.rs
@@ -0,0 +1,270 @@
+//! Exchange of cached views between VMs.
+//!
+//! A VM that is not an observer receives the store's content, the leaders and their log positions
+//! from the observers of its zone. An observer that can't read the store requests the view of
+//! another VM.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use chervildrift_core::placement::name_hash;
+use chervildrift_core::relay::{
+    CachedView, LeaderStatus, Peer, ViewRequest, digest, observers, zone_observers,
+};
+use chervildrift_core::types::{Service, Time, Upstream};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use slog::info;
+use tokio::time::{sleep, timeout};
+
+use super::clock;
+use super::link::{LinkRequest, LinkResponse};
+use super::node::Node;
+
+/// Timeout for a cached view from another zone.
+const VIEW_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Interval at which a VM requests the view of its observer.
+const POLL_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Timeout for the view of an observer.
+const POLL_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time without a view after which a VM reads the store itself.
+const VIEW_TTL: Duration = Duration::from_millis(1_500);
+
+/// Time for which calls to the store must have failed before another VM is asked for its view.
+const STORE_OUTAGE_THRESHOLD: Duration = Duration::from_millis(600);
+
+/// Interval at which other VMs are asked, one at a time, while the store is unavailable.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Returns the cached view of this VM without the parts that the requesting VM has already.
+pub(super) fn cached_view(node: &Node, request: &ViewRequest) -> CachedView {
+    let own = own_parts(node);
+    let routes = node.routes.borrow();
+    let changed = |theirs: u64, own: u64| theirs != own;
+    let services = routes.services();
+    CachedView {
+        current: has_current_view(node),
+        routes: (routes.version() > request.routes).then(|| routes.current().clone()),
+        entries: changed(request.entries, own.entries)
+            .then(|| node.directory.borrow().iter().cloned().collect()),
+        judgements: services
+            .iter()
+            .map(|service| leader_status(node, service))
+            .collect(),
+        peers: changed(request.peers, own.peers).then(|| node.peers.borrow().clone()),
+    }
+}
+
+fn leader_status(node: &Node, service: &Service) -> LeaderStatus {
+    let now = clock::now();
+    node.with_group(service, |group| LeaderStatus {
+        leader: group.leader().cloned(),
+        suspected: group.needs_failover(now),
+        sample: group
+            .newest_sample()
+            // Rounded up, so that the sample doesn't appear newer than it is.
+            .map(|(position, at)| (position, now.since(at).as_millis() as u64 + 1)),
+        service: service.clone(),
+    })
+}
+
+/// Returns whether what this VM knows of the store is up to date.
+fn has_current_view(node: &Node) -> bool {
+    if node.follows_store() {
+        return !node.is_store_unavailable(STORE_OUTAGE_THRESHOLD);
+    }
+    node.view_at.get().is_some()
+}
+
+/// Returns versions and digests of the parts that this VM has.
+fn own_parts(node: &Node) -> ViewRequest {
+    let directory = node.directory.borrow();
+    let entries = directory
+        .iter()
+        .map(|it| (it.upstream.as_str(), it.version));
+    ViewRequest {
+        routes: node.routes.borrow().version(),
+        entries: digest(entries),
+        peers: digest(node.peers.borrow().iter().map(|it| (it.vm.as_str(), 1))),
+    }
+}
+
+/// Requests the cached view of another VM; `None` if it does not respond.
+async fn request_view(
+    node: &Node,
+    address: SocketAddr,
+    request: ViewRequest,
+    limit: Duration,
+) -> Option<CachedView> {
+    let exchange = async {
+        let mut link = node.links.take(address).await.ok()?;
+        link.send(&LinkRequest::View(request)).await.ok()?;
+        match link.receive().await? {
+            LinkResponse::View(view) => {
+                node.links.put(address, link);
+                Some(*view)
+            }
+            _ => None,
+        }
+    };
+    timeout(limit, exchange).await.ok()?
+}
+
+/// Asks the other observers whether a leader has to be replaced; returns true as soon as enough of
+/// them agree, since some may not respond at all.
+pub(super) async fn collect_agreement(
+    node: &Node,
+    service: &Service,
+    leader: Option<&Upstream>,
+) -> bool {
+    // This VM agrees already.
+    let (others, required) = {
+        let peers = node.peers.borrow();
+        let electorate = observers(&peers);
+        let others = electorate.iter().filter(|it| it.vm != node.settings.vm);
+        let others: Vec<SocketAddr> = others.map(|it| it.address).collect();
+        (others, electorate.len() / 2)
+    };
+    let request = own_parts(node);
+    let mut requests: FuturesUnordered<_> = others
+        .into_iter()
+        .map(|address| request_view(node, address, request, VIEW_TIMEOUT))
+        .collect();
+    let mut agreed = 0;
+    while agreed < required {
+        match requests.next().await {
+            Some(Some(view)) if view.agrees(service, leader) => agreed += 1,
+            Some(_) => {}
+            None => return false,
+        }
+    }
+    true
+}
+
+/// Returns the addresses of all other known VMs.
+fn peer_addresses(node: &Node) -> Vec<SocketAddr> {
+    let peers = node.peers.borrow();
+    let known = peers.iter().map(|peer| peer.address);
+    let mut all: Vec<SocketAddr> = known.chain(node.settings.seeds.iter().copied()).collect();
+    all.retain(|address| *address != node.settings.peers);
+    all.sort();
+    all.dedup();
+    all
+}
+
+/// Requests cached views from other VMs while this VM should read the store but can't, until the
+/// process ends.
+pub(super) async fn refresh(node: Rc<Node>) {
+    let mut round = 0;
+    loop {
+        sleep(REFRESH_INTERVAL).await;
+        if !node.is_store_unavailable(STORE_OUTAGE_THRESHOLD) {
+            continue;
+        }
+        let others = peer_addresses(&node);
+        if others.is_empty() {
+            continue;
+        }
+        round += 1;
+        let address = others[round % others.len()];
+        let request = own_parts(&node);
+        let Some(view) = request_view(&node, address, request, VIEW_TIMEOUT).await else {
+            continue;
+        };
+        let is_useful = view.current || !node.upstreams_listed.get();
+        if is_useful && node.is_store_unavailable(STORE_OUTAGE_THRESHOLD) {
+            apply_store_content(&node, view);
+        }
+    }
+}
+
+/// Applies what another VM has read from the store.
+fn apply_store_content(node: &Node, view: CachedView) {
+    if !node.upstreams_listed.get() {
+        info!(node.log, "cached view loaded from a peer"; "event" => "peer",
+            "version" => view.routes.as_ref().map(|it| it.version),
+            "upstreams" => view.entries.as_ref().map(Vec::len));
+    }
+    if let Some(routes) = view.routes {
+        node.apply_routes(routes);
+    }
+    if let Some(entries) = view.entries {
+        node.apply_listing(entries);
+    }
+    if let Some(peers) = view.peers
+        && node.peers.borrow().len() < peers.len()
+    {
+        node.apply_peers(peers);
+    }
+}
+
+/// Receives the view of an observer while this VM is not one itself, until the process ends.
+pub(super) async fn follow_observers(node: Rc<Node>) {
+    let mut failures = 0;
+    loop {
+        sleep(POLL_INTERVAL).await;
+        if node.is_observer() {
+            node.view_at.set(None);
+            continue;
+        }
+        let Some(source) = observer_to_ask(&node, failures) else {
+            continue;
+        };
+        let sent_at = clock::now();
+        let request = own_parts(&node);
+        match request_view(&node, source.address, request, POLL_TIMEOUT).await {
+            Some(view) if view.current => {
+                failures = 0;
+                apply_view(&node, view, sent_at);
+                node.view_at.set(Some(sent_at));
+            }
+            _ => failures += 1,
+        }
+        let lost = node
+            .view_at
+            .get()
+            .is_some_and(|at| clock::now().since(at) >= VIEW_TTL);
+        if lost {
+            node.view_at.set(None);
+            info!(node.log, "observers do not respond"; "event" => "observer",
+                "last_asked" => %source.vm);
+            node.state_changed.notify_waiters();
+        }
+    }
+}
+
+/// Returns the observer to ask after some failures: those of the own zone by turns, and then those
+/// of the other zones.
+fn observer_to_ask(node: &Node, failures: usize) -> Option<Peer> {
+    let peers = node.peers.borrow();
+    let own = zone_observers(&node.settings.zone, &peers);
+    let all = observers(&peers);
+    let start = name_hash(node.settings.vm.as_str()) as usize;
+    let order = if failures <= own.len() { &own } else { &all };
+    let at = start.wrapping_add(failures) % order.len().max(1);
+    order.get(at).map(|it| (*it).clone())
+}
+
+/// Applies the view of an observer, requested at `sent_at`.
+fn apply_view(node: &Node, view: CachedView, sent_at: Time) {
+    if let Some(routes) = view.routes {
+        node.apply_routes(routes);
+    }
+    if let Some(entries) = view.entries {
+        node.apply_listing(entries);
+    }
+    if let Some(peers) = view.peers {
+        node.apply_peers(peers);
+    }
+    for status in view.judgements {
+        if let (Some(leader), Some((position, age_ms))) = (status.leader, status.sample) {
+            let age = Duration::from_millis(age_ms);
+            let sampled_at = Time((sent_at.since(Time(age.as_micros() as u64))).as_micros() as u64);
+            node.merge_sample(&status.service, sampled_at, &leader, position);
+        }
+    }
+}
--- a/chervildrift_core/src/dispatch/job.rs
+++ b/chervildrift_core/src/dispatch/job.rs
@@ -45,7 +45,7 @@
 }
 
 /// How a job that held a slot ended.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Completion {
     /// The upstream answered, with a result or with an error caused by the statement.
     Answered,
--- a/chervildrift_core/src/relay/cached_view.rs
+++ b/chervildrift_core/src/relay/cached_view.rs
@@ -6,7 +6,9 @@
 
 use super::directory::DirectoryEntry;
 use super::route::Routes;
-use crate::types::{Service, Upstream, Vm, Zone};
+use crate::placement::name_hash;
+use crate::rng::mix;
+use crate::types::{LogPosition, Service, Upstream, Vm, Zone};
 
 /// Another VM and the address at which it can be reached.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -28,6 +30,21 @@
     pub leader: Option<Upstream>,
     /// Whether another leader is needed.
     pub suspected: bool,
+    /// Newest sample of the leader's log position and its age in milliseconds.
+    #[serde(default)]
+    pub sample: Option<(LogPosition, u64)>,
+}
+
+/// Parts of a cached view that the requesting VM has already, as versions and digests; 0 requests
+/// a part in any case.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ViewRequest {
+    /// Version of the routes.
+    pub routes: u64,
+    /// Digest of the known upstreams and their versions.
+    pub entries: u64,
+    /// Digest of the running VMs.
+    pub peers: u64,
 }
 
 /// Cached state of a VM, sent to other VMs on request.
@@ -35,14 +52,21 @@
 pub struct CachedView {
     /// Whether the VM can currently read the store itself.
     pub current: bool,
-    /// Newest routes.
-    pub routes: Routes,
-    /// Known upstreams.
-    pub entries: Vec<DirectoryEntry>,
+    /// Newest routes, unless the requesting VM has them.
+    pub routes: Option<Routes>,
+    /// Known upstreams, unless the requesting VM knows the same ones.
+    pub entries: Option<Vec<DirectoryEntry>>,
     /// Leaders of the services.
     pub judgements: Vec<LeaderStatus>,
-    /// Running VMs.
-    pub peers: Vec<Peer>,
+    /// Running VMs, unless the requesting VM knows the same ones.
+    pub peers: Option<Vec<Peer>>,
+}
+
+/// Returns a digest of names and their versions, independent of their order and never 0.
+pub fn digest<'a>(items: impl IntoIterator<Item = (&'a str, u64)>) -> u64 {
+    let hash = |(name, version): (&str, u64)| mix(name_hash(name) ^ mix(version));
+    let sum = items.into_iter().map(hash).fold(0, u64::wrapping_add);
+    sum.max(1)
 }
 
 impl CachedView {
--- a/chervildrift_core/src/relay/code.rs
+++ b/chervildrift_core/src/relay/code.rs
@@ -1,9 +1,10 @@
 //! Error codes of statements.
 
 use derive_more::Display;
+use serde::{Deserialize, Serialize};
 
 /// Reason why a statement failed.
-#[derive(Clone, Copy, Debug, Display, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Display, Eq, Hash, PartialEq, Serialize)]
 pub enum Code {
     /// The upstream or the VM has no free capacity.
     #[display("busy")]
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -67,6 +67,15 @@
     Superseded,
 }
 
+/// Refusal of an upstream to lead.
+#[derive(Clone, Debug)]
+struct LeadRefusal {
+    upstream: Upstream,
+    /// Version of its directory entry at that time.
+    version: u64,
+    requested_at: Time,
+}
+
 /// Fence observed at a replica.
 #[derive(Clone, Debug)]
 struct Fence {
@@ -116,8 +125,8 @@
     newest_term: Term,
     /// Fences observed at replicas under this leader.
     fences: Vec<Fence>,
-    /// Upstreams that refused to lead, with the version of their directory entry at that time.
-    refusals: Vec<(Upstream, u64)>,
+    /// Latest refusal of each upstream to lead.
+    refusals: Vec<LeadRefusal>,
 }
 
 impl Group {
@@ -153,7 +162,7 @@
         self.last_answer = now;
         self.misses = 0;
         self.leaderless_since = None;
-        self.refusals.retain(|(name, _)| name != upstream);
+        self.refusals.retain(|it| it.upstream != *upstream);
         true
     }
 
@@ -165,8 +174,12 @@
         if self.leader.as_ref() == Some(upstream) && requested_at < self.leader_since {
             return;
         }
-        self.refusals.retain(|(name, _)| name != upstream);
-        self.refusals.push((upstream.clone(), version));
+        self.refusals.retain(|it| it.upstream != *upstream);
+        self.refusals.push(LeadRefusal {
+            upstream: upstream.clone(),
+            version,
+            requested_at,
+        });
         self.clear_leader(upstream);
     }
 
@@ -181,10 +194,50 @@
     /// Returns whether an upstream refused to lead under this or a later version of its entry.
     #[must_use]
     pub fn has_refused(&self, upstream: &Upstream, version: u64) -> bool {
-        let matches_refusal = |it: &(Upstream, u64)| it.0 == *upstream && it.1 >= version;
+        let matches_refusal = |it: &LeadRefusal| it.upstream == *upstream && it.version >= version;
         self.refusals.iter().any(matches_refusal)
     }
 
+    /// Records a leader and its log position that another VM sampled at `sampled_at`.
+    ///
+    /// Returns true if the leader has changed. It is ignored if this VM has newer information: a
+    /// refusal of that upstream, or another leader that responds and has at least the same term.
+    pub fn merge_sample(
+        &mut self,
+        now: Time,
+        sampled_at: Time,
+        upstream: &Upstream,
+        position: LogPosition,
+    ) -> bool {
+        let refused = |it: &LeadRefusal| it.upstream == *upstream && it.requested_at >= sampled_at;
+        if self.refusals.iter().any(refused) || position.term < self.newest_term {
+            return false;
+        }
+        let is_newer = self
+            .newest_position()
+            .is_none_or(|newest| position.term > newest.term);
+        let differs = self.leader.as_ref() != Some(upstream);
+        if differs && self.has_responsive_leader(now) && !is_newer {
+            return false;
+        }
+        let changed = self.set_leader(now, upstream);
+        self.record_term(position.term);
+        let last_sample = self.samples.back().map(|it| it.requested_at);
+        if last_sample.is_none_or(|last| sampled_at >= last + MIN_SAMPLE_INTERVAL) {
+            let last_answer = self.last_answer;
+            self.record_sample(sampled_at, sampled_at, upstream, position);
+            self.last_answer = last_answer.max(sampled_at);
+        }
+        changed
+    }
+
+    /// Returns the newest sample and the time at which it was requested.
+    #[must_use]
+    pub fn newest_sample(&self) -> Option<(LogPosition, Time)> {
+        let sample = self.samples.back()?;
+        Some((sample.position, sample.requested_at))
+    }
+
     /// Records a position that the leader returned for a request sent at `requested_at`.
     pub fn record_sample(
         &mut self,
@@ -310,6 +363,13 @@
         }
     }
 
+    /// Returns the last position that a replica is known to have received.
+    #[must_use]
+    pub fn received_position(&self, upstream: &Upstream) -> Option<LogPosition> {
+        let known = self.received.iter().find(|(name, _)| name == upstream);
+        known.map(|(_, position)| *position)
+    }
+
     /// Returns the highest position received by any replica under this leader.
     #[must_use]
     pub fn max_received(&self) -> Option<LogPosition> {
--- a/chervildrift_core/src/relay/membership.rs
+++ b/chervildrift_core/src/relay/membership.rs
@@ -1,4 +1,4 @@
-//! VMs that share the connections to the upstreams.
+//! Running VMs, as their presence records in the platform's store tell.
 
 use std::time::Duration;
 
@@ -7,11 +7,7 @@
 use super::cached_view::Peer;
 
 /// Age at which a VM's record expires; two of its renewals may be lost.
-const PRESENCE_TTL: Duration = Duration::from_secs(25);
-
-/// Share of each upstream's connections that stays free: connections of lost VMs linger for
-/// seconds, and after a common power loss all VMs reconnect while the old connections linger.
-const SPARE_SHARE: f64 = 0.35;
+pub const PRESENCE_TTL: Duration = Duration::from_secs(25);
 
 /// Record by which a VM announces that it is running.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -33,10 +29,3 @@
     peers.dedup_by(|a, b| a.vm == b.vm);
     peers
 }
-
-/// Returns how many connections each of `vms` VMs may hold to an upstream that accepts `limit`.
-#[must_use]
-pub fn connections_per_vm(limit: usize, vms: usize) -> usize {
-    let spare = (limit as f64 * SPARE_SHARE).ceil() as usize;
-    (limit.saturating_sub(spare) / vms.max(1)).max(1)
-}
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -13,15 +13,17 @@
 mod directory;
 mod election;
 mod group;
+mod holders;
 mod leader_selection;
 mod membership;
+mod observers;
 mod route;
 mod session;
 mod statement;
 mod upstream_limit;
 
 pub use self::admission::{PROBE_KIND, admission_policy};
-pub use self::cached_view::{CachedView, LeaderStatus, Peer};
+pub use self::cached_view::{CachedView, LeaderStatus, Peer, ViewRequest, digest};
 pub use self::choice::{Candidate, choose_upstream};
 pub use self::code::Code;
 pub use self::directory::{Directory, DirectoryEntry};
@@ -29,8 +31,10 @@
     Authority, ElectionAction, ElectionState, Lease, ORDER_WINDOW, Vote, decide_election,
 };
 pub use self::group::{FenceState, Group, MinPosition, ReplicationState, SessionCommit};
+pub use self::holders::{HolderPlan, HolderSet};
 pub use self::leader_selection::{FencedLogs, Replica, SelectionError, quorum, select_leader};
-pub use self::membership::{Presence, connections_per_vm, running_peers};
+pub use self::membership::{PRESENCE_TTL, Presence, running_peers};
+pub use self::observers::{observers, zone_observers};
 pub use self::route::{Consistency, Route, RouteTable, Routes, ServiceRules};
 pub use self::session::{Session, SessionVariables, SetupStep, TransactionStatus};
 pub use self::statement::{Access, PreparedStatement, Statement};
--- a/chervildrift_core/src/relay/session.rs
+++ b/chervildrift_core/src/relay/session.rs
@@ -45,6 +45,21 @@
 }
 
 impl Session {
+    /// Creates a session with these variables and no prepared statements.
+    #[must_use]
+    pub fn with_variables(variables: SessionVariables) -> Self {
+        Self {
+            variables,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the variables.
+    #[must_use]
+    pub const fn variables(&self) -> &SessionVariables {
+        &self.variables
+    }
+
     /// Sets a variable.
     pub fn set(&mut self, name: &str, value: &str) {
         self.variables.insert(name.into(), value.into());
--- a/chervildrift_core/src/relay/statement.rs
+++ b/chervildrift_core/src/relay/statement.rs
@@ -1,5 +1,6 @@
 //! Statements of callers, distinguished as far as the proxy needs.
 
+use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
 /// Digest bytes in the upstream name of a prepared statement; 2^64 names make collisions
@@ -7,7 +8,7 @@
 const NAME_DIGEST_BYTES: usize = 8;
 
 /// Access mode of a statement or transaction.
-#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Access {
     /// Reads only.
     Read,
@@ -57,7 +58,7 @@
 ///
 /// Names chosen by sessions may collide, so the statement has a separate name at upstreams, which
 /// is derived from its text and shared by all sessions that prepare the same text.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct PreparedStatement {
     /// Access mode of the statement.
     pub access: Access,
