Follow only observers that have listed the running VMs

Cause: an observer that had not listed the VMs yet answered with an empty list. VMs that applied it counted a fleet of one, asked no observer any more and kept the configuration that they had; as holders they opened all connections of an upstream.

Change: such a VM says that its view is not current; a VM without an observer to ask notices the lost view all the same and lists the VMs again. Statements under a route that their holder has not received yet are scheduled by their rank instead of being refused.

--- a/chervildrift/src/relay/attempts.rs
+++ b/chervildrift/src/relay/attempts.rs
@@ -229,6 +229,7 @@
         let deadline = (self.started + budget).max(now + budget / 2);
         let request = AcquireRequest {
             kind: self.route.kind.clone(),
+            rank: self.route.rank,
             caller: self.caller.clone(),
             deadline,
         };
--- a/chervildrift/src/relay/holder.rs
+++ b/chervildrift/src/relay/holder.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Code, Session};
+use chervildrift_core::relay::{Code, Session, fallback_kind};
+use chervildrift_core::types::{Rank, Upstream};
 use chervildrift_platform::wire::Command;
 use tokio::time::sleep;
 
@@ -53,9 +54,10 @@
 async fn lend(node: &Rc<Node>, link: &mut Link, message: AcquireMessage) -> bool {
     let loan_count = &node.loan_count;
     loan_count.set(loan_count.get() + 1);
+    let (upstream, rank) = (message.upstream.clone(), message.rank);
     let served = match acquire(node, link, message).await {
         Some(Ok(mut checkout)) => {
-            let wait_ms = 0;
+            let wait_ms = pool_wait_ms(node, &upstream, rank);
             let granted = link.send(&LinkResponse::Granted(wait_ms)).await;
             granted.is_ok() && run_until_release(link, &mut checkout).await
         }
@@ -66,6 +68,12 @@
     served
 }
 
+/// Returns the estimated wait for a connection at this VM, in milliseconds.
+fn pool_wait_ms(node: &Node, upstream: &Upstream, rank: Rank) -> u64 {
+    let wait = node.pool(upstream).map(|pool| pool.estimated_wait(rank));
+    wait.unwrap_or_default().as_millis() as u64
+}
+
 /// Acquires a connection; `None` if the link ends meanwhile.
 async fn acquire(
     node: &Rc<Node>,
@@ -79,8 +87,14 @@
     let Some(pool) = pool.filter(|it| it.holders().may_hold(&node.settings.vm)) else {
         return Some(Err(LinkRefusal::NotHolder));
     };
+    let kind = if pool.declares(&message.kind) {
+        message.kind
+    } else {
+        fallback_kind(message.rank)
+    };
     let request = AcquireRequest {
-        kind: message.kind,
+        kind,
+        rank: message.rank,
         caller: message.caller,
         deadline: clock::now() + Duration::from_millis(message.remaining_ms),
     };
--- a/chervildrift/src/relay/leader_monitor.rs
+++ b/chervildrift/src/relay/leader_monitor.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{Access, Code, PROBE_KIND, Session};
-use chervildrift_core::types::{Caller, Kind, Service, Time, Upstream};
+use chervildrift_core::types::{Caller, Kind, Rank, Service, Time, Upstream};
 use chervildrift_platform::wire::Command;
 use slog::info;
 use tokio::time::sleep;
@@ -194,6 +194,7 @@
 pub(super) fn probe_request() -> AcquireRequest {
     AcquireRequest {
         kind: Kind::from(PROBE_KIND),
+        rank: Rank::Urgent,
         caller: Caller::from(PROBE_KIND),
         deadline: clock::now() + PROBE_TIMEOUT,
     }
--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -13,7 +13,7 @@
 use chervildrift_core::relay::{
     Access, CachedView, PreparedStatement, SessionVariables, ViewRequest,
 };
-use chervildrift_core::types::{Caller, Kind, LogPosition, Service, Term, Time, Upstream};
+use chervildrift_core::types::{Caller, Kind, LogPosition, Rank, Service, Term, Time, Upstream};
 use chervildrift_platform::wire::Command;
 use futures::StreamExt;
 use serde::de::DeserializeOwned;
@@ -69,6 +69,8 @@
     pub upstream: Upstream,
     /// Kind of the statement.
     pub kind: Kind,
+    /// Rank of the kind, for a VM that does not know the kind yet.
+    pub rank: Rank,
     /// Caller that sent the statement.
     pub caller: Caller,
     /// Time in which the statement must finish, in milliseconds.
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -74,6 +74,8 @@
     pub listed_before: Cell<bool>,
     /// Time of the newest view received from an observer, while this VM is not one itself.
     pub view_at: Cell<Option<Time>>,
+    /// Requests a renewal of the presence record and a listing of the VMs.
+    pub presence_due: Notify,
     /// Links to other VMs.
     pub links: Rc<Links>,
     /// Number of connections that this VM lends to other VMs or is about to.
--- a/chervildrift/src/relay/pool.rs
+++ b/chervildrift/src/relay/pool.rs
@@ -70,6 +70,8 @@
 pub(super) struct AcquireRequest {
     /// Kind of the statement.
     pub kind: Kind,
+    /// Rank of the kind.
+    pub rank: Rank,
     /// Caller that sent the statement.
     pub caller: Caller,
     /// Time by which the statement must finish.
@@ -140,6 +142,11 @@
         self.holders.replace(Rc::new(holders));
     }
 
+    /// Returns whether statements of a kind can be scheduled.
+    pub(super) fn declares(&self, kind: &Kind) -> bool {
+        self.scheduler.borrow().declares(kind)
+    }
+
     /// Records the wait for a connection that a holder reported.
     pub(super) fn record_holder_wait(&self, wait: Duration) {
         self.holder_wait.set((wait, clock::now()));
--- a/chervildrift/src/relay/presence.rs
+++ b/chervildrift/src/relay/presence.rs
@@ -7,7 +7,7 @@
 use chervildrift_core::types::{Service, Upstream, Vm};
 use chervildrift_platform::store::{Error, Listing, RowKey, Transaction};
 use slog::warn;
-use tokio::time::sleep;
+use tokio::time::timeout;
 
 use super::clock;
 use super::leases;
@@ -60,7 +60,9 @@
             warn!(node.log, "failed to renew presence record"; "event" => "presence",
                 "error" => %err);
         }
-        sleep(if result.is_ok() { delay } else { RETRY_DELAY }).await;
+        let delay = if result.is_ok() { delay } else { RETRY_DELAY };
+        // After the delay the record is due in any case.
+        let _requested = timeout(delay, node.presence_due.notified()).await;
     }
 }
 
--- a/chervildrift/src/relay/remote.rs
+++ b/chervildrift/src/relay/remote.rs
@@ -62,6 +62,7 @@
         let message = LinkRequest::Acquire(AcquireMessage {
             upstream: upstream.clone(),
             kind: request.kind.clone(),
+            rank: request.rank,
             caller: request.caller.clone(),
             remaining_ms: remaining.as_millis() as u64,
             state: session_state(session, prepared),
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -95,6 +95,7 @@
         started: clock::now(),
         listed_before: Cell::default(),
         view_at: Cell::default(),
+        presence_due: Notify::new(),
         links: Rc::default(),
         loan_count: Cell::default(),
         polled_replicas: RefCell::default(),
--- a/chervildrift/src/relay/view.rs
+++ b/chervildrift/src/relay/view.rs
@@ -73,7 +73,12 @@
 }
 
 /// Returns whether what this VM knows of the store is up to date.
+///
+/// A VM that has not listed the running VMs yet knows too little to be followed.
 fn has_current_view(node: &Node) -> bool {
+    if node.observer.get().is_none() {
+        return false;
+    }
     if node.follows_store() {
         return !node.is_store_unavailable(STORE_OUTAGE_THRESHOLD);
     }
@@ -211,28 +216,24 @@
             node.view_at.set(None);
             continue;
         }
-        let Some(source) = observer_to_ask(&node, failures) else {
-            continue;
-        };
-        let sent_at = clock::now();
-        let request = own_parts(&node);
-        match request_view(&node, source.address, request, POLL_TIMEOUT).await {
-            Some(view) if view.current => {
-                failures = 0;
-                apply_view(&node, view, sent_at);
-                node.view_at.set(Some(sent_at));
+        if let Some(source) = observer_to_ask(&node, failures) {
+            let sent_at = clock::now();
+            let request = own_parts(&node);
+            match request_view(&node, source.address, request, POLL_TIMEOUT).await {
+                Some(view) if view.current => {
+                    failures = 0;
+                    apply_view(&node, view, sent_at);
+                    node.view_at.set(Some(sent_at));
+                }
+                _ => failures += 1,
             }
-            _ => failures += 1,
         }
-        let lost = node
-            .view_at
-            .get()
-            .is_some_and(|at| clock::now().since(at) >= VIEW_TTL);
-        if lost {
+        let received_at = node.view_at.get();
+        if received_at.is_some_and(|at| clock::now().since(at) >= VIEW_TTL) {
             node.view_at.set(None);
             info!(node.log, "observers do not respond"; "event" => "observer",
-                "last_asked" => %source.vm);
-            node.state_changed.notify_waiters();
+                "failures" => failures);
+            node.presence_due.notify_one();
         }
     }
 }
--- a/chervildrift_core/src/dispatch/scheduler.rs
+++ b/chervildrift_core/src/dispatch/scheduler.rs
@@ -222,6 +222,12 @@
         self.policy.slots
     }
 
+    /// Returns whether the policy declares a kind.
+    #[must_use]
+    pub fn declares(&self, kind: &Kind) -> bool {
+        self.kind_indexes.contains_key(kind)
+    }
+
     /// Returns the number of jobs of `rank` that hold a slot.
     #[must_use]
     pub const fn running(&self, rank: Rank) -> usize {
--- a/chervildrift_core/src/relay/admission.rs
+++ b/chervildrift_core/src/relay/admission.rs
@@ -18,6 +18,13 @@
 /// Service time assumed before any statement has finished.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(20);
 
+/// Returns the kind as which statements are scheduled that come from another VM, under a route that
+/// this VM has not received yet.
+#[must_use]
+pub fn fallback_kind(rank: Rank) -> Kind {
+    Kind::from(format!("unknown/{rank}"))
+}
+
 /// Returns the policy for `connections` connections to an upstream of a service.
 #[must_use]
 pub fn admission_policy(routes: &RouteTable, service: &Service, connections: usize) -> Policy {
@@ -26,6 +33,13 @@
         Rank::Urgent,
         INITIAL_SERVICE_TIME,
     )];
+    for rank in Rank::ALL {
+        kinds.push(KindPolicy::new(
+            fallback_kind(rank),
+            rank,
+            INITIAL_SERVICE_TIME,
+        ));
+    }
     for route in routes.of_service(service) {
         kinds.push(KindPolicy::new(
             route.kind.clone(),
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -22,7 +22,7 @@
 mod statement;
 mod upstream_limit;
 
-pub use self::admission::{PROBE_KIND, admission_policy};
+pub use self::admission::{PROBE_KIND, admission_policy, fallback_kind};
 pub use self::cached_view::{CachedView, LeaderStatus, Peer, ViewRequest, digest};
 pub use self::choice::{Candidate, choose_upstream};
 pub use self::code::Code;
