Bound the connections of all holders by an upstream's slots

Cause: 81 connections before 5 slots filled an upstream's own queue of statements, which then refused work that holders could have ordered by rank. At the start, VMs whose role had just become known probed all leaders at holders that were not ready yet, and then connected by themselves; upstreams reset 3,233 connections over their limit within 24 s.

Change: at most six connections a slot over all holders. A VM connects by itself only when no holder can be reached, not when one refuses; VMs that receive views wait for the first ones before they probe.

--- a/chervildrift/src/relay/checkout.rs
+++ b/chervildrift/src/relay/checkout.rs
@@ -62,6 +62,7 @@
         let failed_at = |peer: &chervildrift_core::relay::Peer| node.links.failed_at(peer.address);
         let candidates = holders.candidates(vm, clock::now(), failed_at);
         let started = clock::now();
+        let mut is_reachable = false;
         for peer in candidates.iter().take(MAX_HOLDERS_ASKED) {
             let acquired = RemoteConnection::acquire(
                 &node.links,
@@ -88,6 +89,7 @@
                     return Err(CheckoutError::Connection(err));
                 }
                 Err(err) => {
+                    is_reachable |= matches!(err, RemoteError::Refused(_));
                     node.metrics.count_holder_failure(&err);
                     node.links.record_failure(peer.address);
                 }
@@ -97,6 +99,11 @@
                 return Err(CheckoutError::Refused(failure));
             }
         }
+        if is_reachable {
+            // VMs that are starting or stopping, or that see another fleet, agree within moments.
+            let failure = busy(upstream, "no holder is ready", Duration::ZERO);
+            return Err(CheckoutError::Refused(failure));
+        }
         // Without any holder that responds, a connection of its own is the only way left.
         Self::open_local(node, &pool, request, session, prepared).await
     }
--- a/chervildrift/src/relay/leader_monitor.rs
+++ b/chervildrift/src/relay/leader_monitor.rs
@@ -54,6 +54,7 @@
 pub(super) async fn run(node: Rc<Node>) {
     let tasks = Rc::new(std::cell::RefCell::new(ActiveTasks::default()));
     let mut last_check = clock::now();
+    let mut settled_at = last_check;
     loop {
         sleep(CHECK_INTERVAL).await;
         let now = clock::now();
@@ -66,6 +67,11 @@
         }
         last_check = now;
         if !node.is_settled() {
+            settled_at = now;
+            continue;
+        }
+        if !node.follows_store() && now.since(settled_at) < OBSERVED_REFRESH_AGE {
+            // The first views arrive.
             continue;
         }
         let services = node.routes.borrow().services();
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -124,6 +124,9 @@
         let old = self.directory.borrow().get(&entry.upstream).cloned();
         if let Some(pool) = known {
             pool.update_entry(&entry);
+            if old.as_ref().is_some_and(|old| old.slots != entry.slots) {
+                pool.apply_policy(&self.placement(&entry).1);
+            }
         } else {
             let (holders, policy) = self.placement(&entry);
             let pool = Pool::new(entry.clone(), &policy);
@@ -354,7 +357,7 @@
         let routes = self.routes.borrow();
         let limit = routes.rules(&entry.service).map(|rules| rules.connections);
         let limit = limit.unwrap_or(DEFAULT_CONNECTION_LIMIT);
-        let plan = HolderPlan::new(limit, self.vm_count.get());
+        let plan = HolderPlan::new(limit, entry.slots, self.vm_count.get());
         let holders = HolderSet::select(
             &entry.upstream,
             &entry.zone,
--- a/chervildrift_core/src/relay/holders.rs
+++ b/chervildrift_core/src/relay/holders.rs
@@ -25,6 +25,12 @@
 /// Connections per holder when not every VM is one; open transactions occupy some of them.
 const HOLDER_CONNECTIONS: usize = 12;
 
+/// Connections of all holders for each slot of an upstream.
+///
+/// Further statements wait at the holders, which serve urgent ones first, and not in the upstream's
+/// own queue, which refuses work when it is full.
+const CONNECTIONS_PER_SLOT: usize = 6;
+
 /// Minimum number of holders, so that one can be lost without an interruption.
 const MIN_HOLDERS: usize = 3;
 
@@ -44,12 +50,14 @@
 }
 
 impl HolderPlan {
-    /// Plans the holders of an upstream that accepts `limit` connections in a fleet of `vms`.
+    /// Plans the holders, in a fleet of `vms`, of an upstream that accepts `limit` connections and
+    /// runs `slots` statements at a time.
     #[must_use]
-    pub fn new(limit: usize, vms: usize) -> Self {
+    pub fn new(limit: usize, slots: usize, vms: usize) -> Self {
         let vms = vms.max(1);
         let spare = (limit as f64 * SPARE_SHARE).ceil() as usize;
-        let usable = limit.saturating_sub(spare);
+        let useful = slots.max(1) * CONNECTIONS_PER_SLOT;
+        let usable = limit.saturating_sub(spare).min(useful);
         let holders = if usable / vms >= MIN_EVEN_SHARE {
             vms
         } else {
--- a/chervildrift_core/tests/relay_holders.rs
+++ b/chervildrift_core/tests/relay_holders.rs
@@ -30,7 +30,7 @@
 }
 
 fn select(upstream: &str, peers: &[Peer], limit: usize) -> (HolderPlan, HolderSet) {
-    let plan = HolderPlan::new(limit, peers.len());
+    let plan = HolderPlan::new(limit, 5, peers.len());
     let upstream = Upstream::from(upstream);
     let set = HolderSet::select(
         &upstream,
@@ -53,7 +53,7 @@
 fn connection_sums() {
     for limit in 2..200 {
         for vms in 1..400 {
-            let plan = HolderPlan::new(limit, vms);
+            let plan = HolderPlan::new(limit, 1 + limit % 9, vms);
             let sum = plan.holders * plan.connections;
             assert!(plan.holders >= 1 && plan.holders <= vms && plan.connections >= 1);
             assert!(
@@ -69,9 +69,9 @@
 #[test]
 fn small_fleets() {
     for vms in 1..=10 {
-        assert_eq!(HolderPlan::new(33, vms).holders, vms);
+        assert_eq!(HolderPlan::new(33, 5, vms).holders, vms);
     }
-    assert!(HolderPlan::new(53, 85).holders < 20);
+    assert!(HolderPlan::new(53, 6, 85).holders < 20);
 }
 
 /// Guards against holders far from their upstream, and against too few of them when others are
