--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -225,6 +225,11 @@
         if !self.orders.holds_lease() || self.is_promotion_pending() {
             return;
         }
+        // Another VM may have acquired a later lease from a store that only this one can't reach.
+        // The platform refuses the orders of the earlier lease then, if it checks their tokens.
+        if !self.node.settings.tokens_checked {
+            return;
+        }
         if !self.planned {
             let agreement = view::collect_agreement(self.node, self.service, self.leader);
             if !timeout(VOTE_TIMEOUT, agreement).await.unwrap_or(false) {
--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -128,6 +128,8 @@
     Fence(Term),
     /// Corresponds to [`Command::Unfence`].
     Unfence,
+    /// Corresponds to [`Command::Demote`].
+    Demote(Term),
     /// Corresponds to [`Command::Run`].
     Run(Box<str>, Option<LogPosition>, Box<str>),
 }
@@ -180,6 +182,7 @@
             Self::Status => Command::Status,
             Self::Fence(term) => Command::Fence(*term),
             Self::Unfence => Command::Unfence,
+            Self::Demote(term) => Command::Demote(*term),
             Self::Run(id, min_position, text) => Command::Run {
                 id,
                 min_position: *min_position,
@@ -197,6 +200,7 @@
             Command::Status => Some(Self::Status),
             Command::Fence(term) => Some(Self::Fence(term)),
             Command::Unfence => Some(Self::Unfence),
+            Command::Demote(term) => Some(Self::Demote(term)),
             Command::Run {
                 id,
                 min_position,
--- a/chervildrift/src/relay/selection.rs
+++ b/chervildrift/src/relay/selection.rs
@@ -84,7 +84,7 @@
             required: survey.required_position,
         };
         let fenced = self.catch_up(&chosen.upstream, fenced).await;
-        if fenced.is_safe(survey.quorum_size) {
+        if fenced.is_safe(survey.quorum_size) && self.demote_leader(survey.term).await {
             return Some(chosen.upstream);
         }
         warn!(self.node.log, "promotion would not be safe yet"; "event" => "failover",
@@ -158,6 +158,22 @@
         fenced_states
     }
 
+    /// Demotes the old leader, which would otherwise go on where the platform checks no fencing
+    /// tokens; returns whether the promotion may be ordered.
+    ///
+    /// A leader that failed may never respond, and a leaving one may already have ended.
+    async fn demote_leader(&self, term: Term) -> bool {
+        let Some(leader) = self.leader.filter(|_| !self.node.settings.tokens_checked) else {
+            return true;
+        };
+        let state = query_state(self.node, leader, Command::Demote(term.next())).await;
+        let demoted = state.is_some_and(|it| it.role == Some(Role::Replica));
+        info!(self.node.log, "leader demoted"; "event" => "failover", "service" => %self.service,
+            "upstream" => %leader, "term" => %term.next(), "answered" => demoted);
+        let waited = clock::now().since(self.started);
+        demoted || !self.planned || waited >= UNRESPONSIVE_REPLICA_TIMEOUT
+    }
+
     /// Sets the replica whose promotion may still take effect, if any.
     pub(super) fn set_pending_target(&mut self, upstream: Option<&Upstream>) {
         self.pending_target = upstream.cloned();
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -404,3 +404,22 @@
     await_true("no fences", async || database.fenced_members().is_empty()).await;
     assert!(!fleet.vms[0].logged("order revoked"));
 }
+
+/// Guards against an old primary that goes on beside its successor where the platform does not
+/// check fencing tokens and nothing else ends its lead.
+#[tokio::test(flavor = "multi_thread")]
+async fn overlapping_leaders() {
+    let extra_settings = "tokens_checked: false\n";
+    let fleet = Fleet::spawn_with(2, &Options::default(), extra_settings).await;
+    let mut session = session_after_write(&fleet).await;
+    let databases = &fleet.platform.databases;
+    databases.mark_draining(0);
+    fleet.platform.register();
+    await_true("new primary", async || {
+        databases.primary().is_some_and(|it| it != 0)
+    })
+    .await;
+    assert_eq!(databases.overlapping_promotions(), 0);
+    let response = session.run("WRITE x 2").await;
+    assert!(response.succeeded(), "{response:?}");
+}
--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -86,6 +86,27 @@
     );
 }
 
+/// Guards against an order under a lease that may have been replaced in a store which only its
+/// holder can't reach, where the platform does not check fencing tokens.
+#[tokio::test(flavor = "multi_thread")]
+async fn unchecked_storeless_order() {
+    let extra_settings = "tokens_checked: false\n";
+    let fleet = Fleet::spawn_with(3, &Options::default(), extra_settings).await;
+    let mut session = fleet.vms[0].session("own").await;
+    assert!(session.run("WRITE x 1").await.succeeded());
+    await_lease(&fleet).await;
+    fleet.platform.store.set_down(true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.platform.databases.set_unresponsive(0, true);
+    tokio::time::sleep(MAX_FAILOVER_GAP).await;
+    assert_eq!(fleet.platform.databases.primary(), Some(0));
+    fleet.platform.store.set_down(false);
+    await_true("new primary", async || {
+        fleet.platform.databases.primary() != Some(0)
+    })
+    .await;
+}
+
 /// Guards against a lease that is useless while the store is unavailable because its holder was
 /// restarted.
 #[tokio::test(flavor = "multi_thread")]
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -68,6 +68,8 @@
 struct State {
     members: Vec<Member>,
     term: u64,
+    /// Promotions during which the old primary still led.
+    overlapping: usize,
     last_token: u64,
     apply_lag: Duration,
     lost_answers: u32,
@@ -112,6 +114,7 @@
             state: Mutex::new(State {
                 members: (0..options.database_count).map(member).collect(),
                 term: 1,
+                overlapping: 0,
                 last_token: 0,
                 apply_lag: options.apply_lag,
                 lost_answers: 0,
@@ -171,6 +174,19 @@
         fenced.map(|(index, _)| index).collect()
     }
 
+    /// Returns how many promotions took effect while the old primary responded and still led.
+    pub fn overlapping_promotions(&self) -> usize {
+        self.lock().overlapping
+    }
+
+    /// Makes a primary of a lower term a replica.
+    pub(super) fn demote(&self, member: usize, term: u64) {
+        let mut state = self.lock();
+        if state.term < term {
+            state.members[member].primary = false;
+        }
+    }
+
     pub(super) const fn sync_replicas(&self) -> usize {
         self.sync_replicas
     }
@@ -244,6 +260,8 @@
     /// Makes a database the primary of the next term and truncates the other logs to its length.
     pub fn promote(&self, id: &str) {
         let mut state = self.lock();
+        let serves = |it: &Member| it.primary && it.fault != Fault::Unresponsive;
+        state.overlapping += usize::from(state.members.iter().any(serves));
         let Some(target) = (0..state.members.len()).find(|it| Self::member_id(*it) == id) else {
             return;
         };
--- a/chervildrift_standin/src/deployment/session.rs
+++ b/chervildrift_standin/src/deployment/session.rs
@@ -169,6 +169,11 @@
             }
             ("PAUSE", [term]) => self.status(term.parse().ok()),
             ("RESUME", []) => self.status(Some(0)),
+            ("DEMOTE", [term]) => {
+                let term = term.parse().unwrap_or_default();
+                self.databases.demote(self.member, term);
+                self.status(None)
+            }
             ("STATUS", []) => self.status(None),
             ("EXECUTE", [name, rest @ ..]) => {
                 let Some((write, statement)) = self.prepared.get(*name).cloned() else {
