--- a/chervildrift_core/src/relay/holders.rs
+++ b/chervildrift_core/src/relay/holders.rs
@@ -56,7 +56,7 @@
     pub fn new(limit: usize, slots: usize, vms: usize) -> Self {
         let vms = vms.max(1);
         let spare = (limit as f64 * SPARE_SHARE).ceil() as usize;
-        let useful = slots.max(1) * CONNECTIONS_PER_SLOT;
+        let useful = slots.max(1).saturating_mul(CONNECTIONS_PER_SLOT);
         let usable = limit.saturating_sub(spare).min(useful);
         let holders = if usable / vms >= MIN_EVEN_SHARE {
             vms
--- a/chervildrift_core/tests/relay_holders.rs
+++ b/chervildrift_core/tests/relay_holders.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// Guards against a VM that ends when an entry from another writer declares absurd figures.
+#[test]
+fn absurd_figures() {
+    for (limit, slots) in [
+        (0, 0),
+        (usize::MAX, usize::MAX),
+        (53, usize::MAX),
+        (usize::MAX, 0),
+    ] {
+        for vms in [0, 1, 85] {
+            let plan = HolderPlan::new(limit, slots, vms);
+            assert!(plan.holders >= 1 && plan.connections >= 1 && plan.connections <= limit.max(1));
+        }
+    }
+}
+
 /// Guards against small fleets that reach their upstreams through other VMs.
 #[test]
 fn small_fleets() {
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -70,6 +70,8 @@
     term: u64,
     /// Promotions during which the old primary still led.
     overlapping: usize,
+    /// Connections refused for the limit.
+    refused_connections: usize,
     last_token: u64,
     apply_lag: Duration,
     lost_answers: u32,
@@ -115,6 +117,7 @@
                 members: (0..options.database_count).map(member).collect(),
                 term: 1,
                 overlapping: 0,
+                refused_connections: 0,
                 last_token: 0,
                 apply_lag: options.apply_lag,
                 lost_answers: 0,
@@ -179,6 +182,15 @@
         self.lock().overlapping
     }
 
+    /// Returns how many connections were refused for the limit.
+    pub fn refused_connections(&self) -> usize {
+        self.lock().refused_connections
+    }
+
+    pub(super) const fn max_connections(&self) -> usize {
+        self.max_connections
+    }
+
     /// Makes a primary of a lower term a replica.
     pub(super) fn demote(&self, member: usize, term: u64) {
         let mut state = self.lock();
@@ -319,6 +331,7 @@
     pub(super) fn connect(&self, member: usize) -> Option<u64> {
         let mut state = self.lock();
         if state.members[member].open_connections >= self.max_connections {
+            state.refused_connections += 1;
             return None;
         }
         state.members[member].open_connections += 1;
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -128,7 +128,7 @@
             .collect();
         let config = serde_json::json!({
             "version": version, "routes": routes,
-            "services": [{"name": SERVICE, "connection_limit": 30,
+            "services": [{"name": SERVICE, "connection_limit": self.databases.max_connections(),
                 "sync_replicas": self.databases.sync_replicas()}],
             "limits": {"transaction_idle_ms": 3_000},
         });
