--- a/chervildrift/src/relay/checkout.rs
+++ b/chervildrift/src/relay/checkout.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use chervildrift_core::dispatch::{Completion, Refusal};
-use chervildrift_core::relay::{Code, PreparedStatement, Session};
+use chervildrift_core::relay::{Code, Peer, PreparedStatement, Session};
 use chervildrift_core::types::Upstream;
 use chervildrift_platform::wire::Command;
 
@@ -59,7 +59,7 @@
         if holders.is_holder(vm) {
             return Self::open_local(node, &pool, request, session, prepared).await;
         }
-        let failed_at = |peer: &chervildrift_core::relay::Peer| node.links.failed_at(peer.address);
+        let failed_at = |peer: &Peer| node.links.failed_at(peer.address);
         let candidates = holders.candidates(vm, clock::now(), failed_at);
         let started = clock::now();
         let mut is_reachable = false;
--- a/chervildrift/src/relay/holder.rs
+++ b/chervildrift/src/relay/holder.rs
@@ -11,7 +11,7 @@
 use super::checkout::{Checkout, CheckoutError};
 use super::clock;
 use super::confirm::await_receipt;
-use super::connection::ConnectionError;
+use super::connection::{ConnectionError, Reply};
 use super::link::{
     AcquireMessage, Link, LinkCommand, LinkRefusal, LinkRequest, LinkResponse, RunMessage,
     SessionState,
@@ -160,7 +160,7 @@
 async fn run_commands(
     checkout: &mut Checkout,
     message: &RunMessage,
-) -> Result<Vec<super::connection::Reply>, ConnectionError> {
+) -> Result<Vec<Reply>, ConnectionError> {
     let commands: Vec<Command<'_>> = message
         .commands
         .iter()
