Let observers compare their routes with each other

The store stopped answering some VMs, observers among them, half a second before a new configuration. An observer notices that after a whole feed call and its timeout, 6 s, and says until then that its view is current; the VMs of its zone, which the store would have answered, kept the old routes.

Change: an observer asks another one in turn every 700 ms and applies newer routes; versions never go down. Test outdated_observer fails without it.

--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -55,6 +55,7 @@
     spawn_local(peers::accept(Rc::clone(&node), peer_listener));
     spawn_local(view::refresh(Rc::clone(&node)));
     spawn_local(view::follow_observers(Rc::clone(&node)));
+    spawn_local(view::compare_routes(Rc::clone(&node)));
     spawn_local(leader_monitor::run(Rc::clone(&node)));
     spawn_local(listener::accept(Rc::clone(&node), callers));
     loop {
--- a/chervildrift/src/relay/view.rs
+++ b/chervildrift/src/relay/view.rs
@@ -34,6 +34,9 @@
 /// Time without a view after which a VM reads the store itself.
 const VIEW_TTL: Duration = Duration::from_millis(1_500);
 
+/// Interval at which an observer asks another one for newer routes.
+const COMPARISON_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Time for which calls to the store must have failed before another VM is asked for its view.
 const STORE_OUTAGE_THRESHOLD: Duration = Duration::from_millis(600);
 
@@ -161,6 +164,35 @@
     all
 }
 
+/// Requests the routes of the other observers, one at a time, while this VM is an observer itself;
+/// runs until the process ends.
+///
+/// A store that stops responding to some VMs only is noticed after a whole feed call, which takes
+/// longer than a new configuration may.
+pub(super) async fn compare_routes(node: Rc<Node>) {
+    let mut round = name_hash(node.settings.vm.as_str()) as usize;
+    loop {
+        sleep(COMPARISON_INTERVAL).await;
+        if !node.is_observer() {
+            continue;
+        }
+        let others: Vec<SocketAddr> = {
+            let peers = node.peers.borrow();
+            let others = observers(&peers);
+            let others = others.iter().filter(|it| it.vm != node.settings.vm);
+            others.map(|it| it.address).collect()
+        };
+        round = round.wrapping_add(1);
+        let Some(address) = others.get(round % others.len().max(1)) else {
+            continue;
+        };
+        let view = request_view(&node, *address, own_parts(&node), VIEW_TIMEOUT).await;
+        if let Some(routes) = view.and_then(|it| it.routes) {
+            node.apply_routes(routes);
+        }
+    }
+}
+
 /// Requests cached views from other VMs while this VM should read the store but can't, until the
 /// process ends.
 pub(super) async fn refresh(node: Rc<Node>) {
--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -39,6 +39,35 @@
     .await;
 }
 
+/// Guards against an observer that keeps an old configuration because its store calls hang or are
+/// answered with old content, although other observers have a newer one.
+#[tokio::test(flavor = "multi_thread")]
+async fn outdated_observer() {
+    let mut fleet = Fleet::spawn(1, &Options::default()).await;
+    let fork = fleet
+        .platform
+        .with_own_store()
+        .await
+        .expect("a second store");
+    fork.register();
+    let peer = serde_json::json!({
+        "peer": {"vm": "vm-first", "zone": "north", "address": fleet.vms[0].peers}, "at": 0,
+    });
+    fork.store
+        .put("chervildrift", "vm/vm-first", peer.to_string().as_bytes());
+    fork.configure(1, &relay_fleet::ROUTES);
+    fleet.store_address = fork.address;
+    fleet.add_vm("");
+    fleet.vms[1].await_ready(true).await;
+    fleet.platform.configure(2, &[("late", "primary", 0)]);
+    let outdated = fleet.vms[1].callers;
+    await_true("new route", async || {
+        let mut probe = Session::connect(outdated).await;
+        probe.send("START late tester").await.ready == "READY I -"
+    })
+    .await;
+}
+
 /// Waits until all VMs count each other and one has acquired the lease of the service.
 async fn await_lease(fleet: &Fleet) {
     let logged = |vm: &relay_fleet::Vm, event: &str, field: &str, value: usize| {
