--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -5,11 +5,16 @@
 use std::net::TcpStream;
 use std::path::Path;
 use std::process::Command;
+use std::sync::{Arc, OnceLock};
+use std::thread;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use crate::Fleet;
 use crate::client::Client;
+use crate::database::Group;
+use crate::http::Request;
+use crate::json;
 
 /// Number of processes of a small deployment.
 const FLEET: usize = 3;
@@ -18,7 +23,7 @@
 const SETTLE: Duration = Duration::from_millis(1_500);
 
 /// Answer to orders; no database of these cases is ever to be replaced.
-fn no_promotion(_request: &crate::http::Request) -> u16 {
+fn no_promotion(_request: &Request, _group: &Arc<Group>) -> u16 {
     503
 }
 
@@ -200,3 +205,111 @@
     }
     stale
 }
+
+/// Time from the store's acknowledgement until a draining database must get no more requests.
+const DRAIN: Duration = Duration::from_millis(7_000);
+
+/// Time for which the platform refuses promotions.
+const OUTAGE: Duration = Duration::from_secs(9);
+
+/// Time after its start for which a process isn't in touch.
+const STABILITY_WINDOW: Duration = Duration::from_millis(5_000);
+
+/// Time from the drain until one more process is started.
+const ADD_DELAY: Duration = Duration::from_millis(2_500);
+
+/// Delay of a client between two writes.
+const WRITE_DELAY: Duration = Duration::from_millis(20);
+
+/// A process is added while a primary drains that can't be replaced.
+pub fn added_process(record: &Path) -> Option<bool> {
+    let has_trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let drained = Arc::new(OnceLock::new());
+    let outage_start = Arc::clone(&drained);
+    let cloud = move |request: &Request, group: &Arc<Group>| {
+        let is_down = |start: &Instant| start.elapsed() < OUTAGE;
+        if has_trouble && outage_start.get().is_some_and(is_down) {
+            return 503;
+        }
+        let order = json::parse(&request.body);
+        let id = order.map_or_else(String::new, |it| it.text("id").to_owned());
+        let group = Arc::clone(group);
+        thread::spawn(move || {
+            sleep(Duration::from_millis(300));
+            group.promote(&id);
+        });
+        200
+    };
+    let mut fleet = Fleet::start(FLEET, record, cloud)?;
+    // The outage begins with the drain, and the drain counts from the store's answer.
+    let _set = drained.set(Instant::now());
+    fleet.group.drain(&fleet.store, 0);
+    let drained_at = Instant::now();
+    fleet
+        .record
+        .line("the store has accepted that the primary drains");
+    sleep(ADD_DELAY);
+    fleet.add_vm();
+    let end = drained_at + DRAIN + Duration::from_secs(3);
+    let sent: Vec<(String, Instant, Instant)> = thread::scope(|scope| {
+        let clients = fleet.vms.iter().enumerate().map(|(index, vm)| {
+            let fleet = &fleet;
+            scope.spawn(move || write_until(fleet, index, vm.callers, vm.started, end))
+        });
+        let clients: Vec<_> = clients.collect();
+        let sent = clients.into_iter().map(|it| it.join().expect("a client"));
+        sent.flatten().collect()
+    });
+    let mut late = 0;
+    for run in fleet.group.runs().iter().filter(|run| run.member == 0) {
+        let Some((_, sent_at, started)) = sent.iter().find(|(id, ..)| *id == run.id) else {
+            continue;
+        };
+        let after = run.at.saturating_duration_since(drained_at);
+        if after > DRAIN && *sent_at >= *started + STABILITY_WINDOW {
+            late += 1;
+            fleet.record.line(&format!(
+                "DRAIN: id={} reached the draining database {} ms after the store's answer; its \
+                 process had run for {} ms when it was sent",
+                run.id,
+                after.as_millis(),
+                sent_at.saturating_duration_since(*started).as_millis()
+            ));
+        }
+    }
+    fleet.record.line(&format!(
+        "{late} requests reached the draining database too late"
+    ));
+    Some(late > 0)
+}
+
+/// Writes through a process until `end`; returns the ids with the times at which they were sent and
+/// at which the process was started.
+fn write_until(
+    fleet: &Fleet,
+    index: usize,
+    address: std::net::SocketAddr,
+    started: Instant,
+    end: Instant,
+) -> Vec<(String, Instant, Instant)> {
+    let mut sent = Vec::new();
+    let mut client = None;
+    while Instant::now() < end {
+        let name = format!("client-{index}");
+        let Some(session) =
+            client.get_or_insert_with(|| Client::start(address, "strict", &name, &fleet.record))
+        else {
+            client = None;
+            sleep(WRITE_DELAY);
+            continue;
+        };
+        let id = format!("5c0e7a21d94{index}{:04}", sent.len());
+        sent.push((id.clone(), Instant::now(), started));
+        let written = session.query(&id, &format!("WRITE 1a{index} value{}", sent.len()));
+        if written.ready.is_empty() {
+            client = None;
+        }
+        sleep(WRITE_DELAY);
+    }
+    sent
+}
--- a/review/standin/src/database.rs
+++ b/review/standin/src/database.rs
@@ -158,9 +158,21 @@
         self.report(store);
     }
 
-    /// Sets the delay until replicas apply a commit.
-    pub fn set_lag(&self, lag: Duration) {
-        self.lock().lag = lag;
+    /// Makes a database the primary of the next term, which has all commits here; the others follow.
+    pub fn promote(&self, id: &str) {
+        let mut state = self.lock();
+        let Some(target) = (0..state.members.len()).find(|it| member_id(*it) == id) else {
+            return;
+        };
+        if target == state.primary {
+            return;
+        }
+        state.primary = target;
+        state.term += 1;
+        for member in &mut state.members {
+            member.fence = 0;
+        }
+        self.record.line(&format!("{id} leads term {}", state.term));
     }
 
     /// Cuts off the replies to the next `count` writes before their end.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -49,13 +49,14 @@
     fn start(
         count: usize,
         record: &Path,
-        cloud: impl Fn(&Request) -> u16 + Send + Sync + 'static,
+        cloud: impl Fn(&Request, &Arc<Group>) -> u16 + Send + Sync + 'static,
     ) -> Option<Self> {
         let record = Arc::new(Record::create(record));
         let (store, store_address) = Store::start();
-        let cloud = http::serve(move |request| (cloud(request), String::new()));
         store.put("op", "config", &configuration());
         let group = Group::start(&store, &record, &ZONES.map(|(zone, _)| zone));
+        let databases = Arc::clone(&group);
+        let cloud = http::serve(move |request| (cloud(request, &databases), String::new()));
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder).ok()?;
         let mut fleet = Self {
@@ -137,6 +138,7 @@
         }
         ["line-feed", record] => cases::line_feed(Path::new(record)),
         ["killed-client", record] => cases::killed_client(Path::new(record)),
+        ["added-process", record] => cases::added_process(Path::new(record)),
         ["cut-reply", record] => cases::cut_reply(Path::new(record)),
         _ => None,
     };
