--- a/review/standin/src/cases.rs
+++ b/review/standin/src/cases.rs
@@ -5,20 +5,29 @@
 use std::net::TcpStream;
 use std::path::Path;
 use std::process::Command;
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
 use crate::Fleet;
 use crate::client::Client;
-use crate::database::Group;
+use crate::database::{Group, Shape};
 use crate::http::Request;
 use crate::json;
+use crate::record::Record;
+use crate::vm::ZONES;
 
 /// Number of processes of a small deployment.
 const FLEET: usize = 3;
 
+/// Databases as on the site's sheet.
+const SITE: Shape = Shape {
+    places: &ZONES,
+    lag: Duration::from_millis(20),
+    sync_replicas: 0,
+};
+
 /// Time after which a database has run everything that was passed on to it.
 const SETTLE: Duration = Duration::from_millis(1_500);
 
@@ -59,7 +68,7 @@
 
 /// A client's data field holds a line feed, which ends no line of the protocol.
 pub fn line_feed(record: &Path) -> Option<bool> {
-    let fleet = Fleet::start(FLEET, record, no_promotion)?;
+    let fleet = Fleet::start(FLEET, record, SITE, no_promotion)?;
     let mut sent = HashMap::new();
     for (index, vm) in fleet.vms.iter().enumerate() {
         let name = format!("client-{index}");
@@ -118,7 +127,7 @@
 
 /// Clients are killed while they send a large write.
 pub fn killed_client(record: &Path) -> Option<bool> {
-    let fleet = Fleet::start(FLEET, record, no_promotion)?;
+    let fleet = Fleet::start(FLEET, record, SITE, no_promotion)?;
     let mut sent = HashMap::new();
     let mut clients = Vec::new();
     for (index, vm) in fleet.vms.iter().enumerate() {
@@ -154,7 +163,7 @@
 
 /// A database's reply to a write is cut off before its end.
 pub fn cut_reply(record: &Path) -> Option<bool> {
-    let fleet = Fleet::start(FLEET, record, no_promotion)?;
+    let fleet = Fleet::start(FLEET, record, SITE, no_promotion)?;
     // Replicas are 20 ms behind, as on the site's sheet; nothing else is disturbed.
     let mut client = Client::start(fleet.vms[0].callers, "own", "client-0", &fleet.record)?;
     let mut stale = 0;
@@ -240,7 +249,7 @@
         });
         200
     };
-    let mut fleet = Fleet::start(FLEET, record, cloud)?;
+    let mut fleet = Fleet::start(FLEET, record, SITE, cloud)?;
     // The outage begins with the drain, and the drain counts from the store's answer.
     let _set = drained.set(Instant::now());
     fleet.group.drain(&fleet.store, 0);
@@ -313,3 +322,149 @@
     }
     sent
 }
+
+/// Two databases in one region and the primary in another one, with a synchronous replica.
+const SYNCHRONOUS: Shape = Shape {
+    places: &[
+        ("ashburton", "canterbury"),
+        ("hamilton", "waikato"),
+        ("matamata", "waikato"),
+    ],
+    lag: Duration::from_millis(8),
+    sync_replicas: 1,
+};
+
+/// Time that a promotion takes.
+const PROMOTION: Duration = Duration::from_millis(1_000);
+
+/// Time after which the slow platform carries out an order.
+const ORDER_DELAY: Duration = Duration::from_secs(3);
+
+/// Time for which the platform is slow.
+const SLOW: Duration = Duration::from_secs(6);
+
+/// Time for which the primary is dark.
+const DARK: Duration = Duration::from_millis(2_500);
+
+/// Number of times that the primary is dark.
+const EPISODES: u32 = 4;
+
+/// Time from one of them to the next.
+const EPISODE: Duration = Duration::from_secs(15);
+
+/// Number of clients that write.
+const WRITERS: usize = 48;
+
+/// A primary is dark for a moment while the platform is slow, a few times.
+pub fn slow_orders(record: &Path) -> Option<bool> {
+    let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
+    let slow_since: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let shared = Arc::clone(&slow_since);
+    let last_token = Mutex::new(0);
+    let log = Record::create(&record.with_extension("orders.txt"));
+    let cloud = move |request: &Request, group: &Arc<Group>| {
+        let order = json::parse(&request.body);
+        let id = order.map_or_else(String::new, |it| it.text("id").to_owned());
+        let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
+        let holder = header("x-chervildrift-duty-holder");
+        let token: u64 = header("x-chervildrift-fencing-token").parse().unwrap_or(0);
+        let is_slow = |start: Instant| start.elapsed() < SLOW;
+        log.line(&format!("{holder} orders {id} with token {token}"));
+        let started = *shared.lock().expect("start");
+        if started.is_some_and(is_slow) {
+            sleep(ORDER_DELAY);
+        }
+        let mut last = last_token.lock().expect("token");
+        let taken = token >= *last && group.is_running(&id);
+        *last = token.max(*last);
+        log.line(&format!(
+            "order for {id} with token {token} carried out: {taken}"
+        ));
+        if !taken {
+            return 409;
+        }
+        if !group.leads(&id) {
+            let group = Arc::clone(group);
+            thread::spawn(move || {
+                sleep(PROMOTION);
+                group.promote(&id);
+            });
+        }
+        200
+    };
+    let fleet = Fleet::start(FLEET, record, SYNCHRONOUS, cloud)?;
+    let end = Instant::now() + EPISODE * EPISODES;
+    let acknowledged: Vec<(String, Instant)> = thread::scope(|scope| {
+        let clients = (0..WRITERS).map(|index| {
+            let fleet = &fleet;
+            scope.spawn(move || write_items(fleet, index, end))
+        });
+        let clients: Vec<_> = clients.collect();
+        for _ in 0..EPISODES {
+            let begin = Instant::now();
+            sleep(Duration::from_secs(2));
+            if trouble {
+                *slow_since.lock().expect("start") = Some(Instant::now());
+                fleet
+                    .record
+                    .line("the platform carries out orders 3 s late from now on");
+            }
+            let primary = fleet.group.primary();
+            fleet.group.set_dark(primary, true);
+            sleep(DARK);
+            fleet.group.set_dark(primary, false);
+            sleep(EPISODE.saturating_sub(begin.elapsed()));
+        }
+        let acknowledged = clients.into_iter().map(|it| it.join().expect("a client"));
+        acknowledged.flatten().collect()
+    });
+    let dropped = fleet.group.dropped();
+    let mut lost = 0;
+    for (item, at) in &acknowledged {
+        if let Some(drop) = dropped.iter().find(|it| it.item == *item && it.at > *at) {
+            lost += 1;
+            fleet.record.line(&format!(
+                "LOST: the write of {item} was acknowledged {} ms before {} became primary without it",
+                drop.at.saturating_duration_since(*at).as_millis(),
+                crate::database::member_id(drop.leader)
+            ));
+        }
+    }
+    fleet.record.line(&format!(
+        "{lost} of {} acknowledged writes were lost",
+        acknowledged.len()
+    ));
+    Some(lost > 0)
+}
+
+/// Writes new items until `end`; returns those that were acknowledged, and when.
+fn write_items(fleet: &Fleet, index: usize, end: Instant) -> Vec<(String, Instant)> {
+    let mut acknowledged = Vec::new();
+    let mut client = None;
+    let mut count = 0;
+    let address = fleet.vms[index % fleet.vms.len()].callers;
+    while Instant::now() < end {
+        let name = format!("client-{index}");
+        let Some(session) =
+            client.get_or_insert_with(|| Client::start(address, "strict", &name, &fleet.record))
+        else {
+            client = None;
+            sleep(WRITE_DELAY);
+            continue;
+        };
+        count += 1;
+        let item = format!("{index}x{count}");
+        let written = session.query(
+            &format!("5c0e7a21d{index:02}{count:05}"),
+            &format!("WRITE {item} value"),
+        );
+        if written.is_success() {
+            acknowledged.push((item, Instant::now()));
+        }
+        if written.ready.is_empty() {
+            client = None;
+        }
+        sleep(WRITE_DELAY);
+    }
+    acknowledged
+}
--- a/review/standin/src/database.rs
+++ b/review/standin/src/database.rs
@@ -22,8 +22,17 @@
 /// Number of the last commit before the script begins.
 const FIRST_NUMBER: u64 = 1_200;
 
-/// Delay until a replica receives a commit.
-const RECEIVE_DELAY: Duration = Duration::from_millis(1);
+/// Delay until a replica in the same region receives a commit.
+const NEAR: Duration = Duration::from_millis(1);
+
+/// Delay until a replica in another region receives a commit.
+const FAR: Duration = Duration::from_millis(20);
+
+/// Time for which a commit waits for replicas.
+const SYNC_LIMIT: Duration = Duration::from_secs(5);
+
+/// Result of a statement whose connection ends without an answer.
+const NO_ANSWER: &str = "";
 
 /// Interval of the liveness reports.
 pub const REPORT_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -39,7 +48,9 @@
     pub number: u64,
 }
 
+#[derive(Clone)]
 struct Entry {
+    term: u64,
     number: u64,
     item: String,
     data: String,
@@ -49,21 +60,44 @@
 struct Member {
     address: SocketAddr,
     zone: &'static str,
+    region: &'static str,
     draining: bool,
     fence: u64,
-    /// Last commit that the database had received when it was fenced.
-    fenced_at: u64,
+    /// Number of commits that the database had received when it was fenced.
+    fenced_at: usize,
+    /// Number of commits that the database has received in any case, such as those of its own.
+    received: usize,
+    /// Whether the database takes connections and answers nothing.
+    dark: bool,
     connections: usize,
 }
 
+/// Shape of a service.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    /// Zone and region of each database; the first one is the primary.
+    pub places: &'static [(&'static str, &'static str)],
+    /// Delay until a replica applies what it has received.
+    pub lag: Duration,
+    /// Number of replicas that receive a commit before it is acknowledged.
+    pub sync_replicas: usize,
+}
+
+/// Commit that a promotion dropped.
+#[derive(Clone, Debug)]
+pub struct Dropped {
+    pub at: Instant,
+    pub item: String,
+    pub leader: usize,
+}
+
 struct State {
     members: Vec<Member>,
     primary: usize,
     term: u64,
     log: Vec<Entry>,
-    /// Delay until a replica applies a commit.
-    lag: Duration,
     runs: Vec<Run>,
+    dropped: Vec<Dropped>,
     /// Number of the next replies to writes that are cut off before their end.
     cut_replies: u32,
     report: u64,
@@ -72,23 +106,29 @@
 /// Databases of one service.
 pub struct Group {
     state: Mutex<State>,
+    shape: Shape,
     connection_limit: usize,
     record: Arc<Record>,
 }
 
 impl Group {
     /// Starts a primary and replicas, one in each zone, and reports them in the store.
-    pub fn start(store: &Arc<Store>, record: &Arc<Record>, zones: &[&'static str]) -> Arc<Self> {
-        let listeners: Vec<TcpListener> = zones
+    pub fn start(store: &Arc<Store>, record: &Arc<Record>, shape: Shape) -> Arc<Self> {
+        let listeners: Vec<TcpListener> = shape
+            .places
             .iter()
             .map(|_| TcpListener::bind("127.0.0.1:0").expect("a loopback port"))
             .collect();
-        let members = listeners.iter().zip(zones).map(|(listener, zone)| Member {
+        let members = listeners.iter().zip(shape.places);
+        let members = members.map(|(listener, (zone, region))| Member {
             address: listener.local_addr().expect("an address"),
             zone,
+            region,
             draining: false,
             fence: 0,
             fenced_at: 0,
+            received: 0,
+            dark: false,
             connections: 0,
         });
         let group = Arc::new(Self {
@@ -97,11 +137,12 @@
                 primary: 0,
                 term: FIRST_TERM,
                 log: Vec::new(),
-                lag: Duration::from_millis(20),
                 runs: Vec::new(),
+                dropped: Vec::new(),
                 cut_replies: 0,
                 report: 0,
             }),
+            shape,
             connection_limit: 33,
             record: Arc::clone(record),
         });
@@ -158,21 +199,84 @@
         self.report(store);
     }
 
-    /// Makes a database the primary of the next term, which has all commits here; the others follow.
+    /// Makes a database the primary of the next term with what it has received; commits that it
+    /// lacks are dropped.
     pub fn promote(&self, id: &str) {
         let mut state = self.lock();
         let Some(target) = (0..state.members.len()).find(|it| member_id(*it) == id) else {
             return;
         };
-        if target == state.primary {
+        if target == state.primary || state.members[target].dark {
             return;
         }
-        state.primary = target;
-        state.term += 1;
+        let kept = state.received(target, Duration::ZERO);
+        let now = Instant::now();
+        let dropped: Vec<Entry> = state.log.drain(kept..).collect();
+        let last = dropped.last().map(|entry| entry.number);
+        for entry in dropped {
+            state.dropped.push(Dropped {
+                at: now,
+                item: entry.item,
+                leader: target,
+            });
+        }
+        let old = state.primary;
+        state.members[old].received = kept;
+        state.members[target].received = kept;
         for member in &mut state.members {
+            member.received = member.received.min(kept);
             member.fence = 0;
         }
-        self.record.line(&format!("{id} leads term {}", state.term));
+        state.primary = target;
+        state.term += 1;
+        let number = state.position(target, Duration::ZERO).1;
+        self.record.line(&format!(
+            "{id} leads term {} with the commits up to {number}; the last dropped one was {last:?}",
+            state.term
+        ));
+    }
+
+    /// Returns whether a database runs.
+    pub fn is_running(&self, id: &str) -> bool {
+        let state = self.lock();
+        let found = (0..state.members.len()).find(|it| member_id(*it) == id);
+        found.is_some_and(|it| !state.members[it].dark)
+    }
+
+    /// Returns whether a database is the primary.
+    pub fn leads(&self, id: &str) -> bool {
+        let state = self.lock();
+        member_id(state.primary) == id
+    }
+
+    /// Returns the index of the primary.
+    pub fn primary(&self) -> usize {
+        self.lock().primary
+    }
+
+    /// Makes a database dark or lets it answer again.
+    pub fn set_dark(&self, member: usize, dark: bool) {
+        self.lock().members[member].dark = dark;
+        self.record
+            .line(&format!("{} is dark: {dark}", member_id(member)));
+    }
+
+    /// Returns the commits that promotions dropped.
+    pub fn dropped(&self) -> Vec<Dropped> {
+        self.lock().dropped.clone()
+    }
+
+    fn is_dark(&self, member: usize) -> bool {
+        self.lock().members[member].dark
+    }
+
+    /// Waits while a database is dark; returns whether it was.
+    fn await_light(&self, member: usize) -> bool {
+        let was_dark = self.is_dark(member);
+        while self.is_dark(member) {
+            thread::sleep(Duration::from_millis(20));
+        }
+        was_dark
     }
 
     /// Cuts off the replies to the next `count` writes before their end.
@@ -198,6 +302,9 @@
         let Some(start) = read_message(&mut reader) else {
             return;
         };
+        if self.await_light(member) {
+            return;
+        }
         let fields: Vec<&str> = start.split(' ').collect();
         let known = fields.first() == Some(&"START") && fields.get(1) == Some(&SERVICE);
         let expected = fields.get(3).is_none_or(|id| *id == member_id(member));
@@ -230,6 +337,10 @@
         let ready = session.ready_line();
         if reader.get_mut().write_all(ready.as_bytes()).is_ok() {
             while let Some(message) = read_message(&mut reader) {
+                // A database that was dark knows nothing of its earlier connections.
+                if self.await_light(member) {
+                    break;
+                }
                 let Some(reply) = session.handle(&message) else {
                     break;
                 };
@@ -267,16 +378,37 @@
 }
 
 impl State {
-    /// Returns the number of the last commit that a database has applied, or received.
-    fn position(&self, member: usize, delay: Duration) -> u64 {
-        let has = |entry: &&Entry| member == self.primary || entry.at.elapsed() >= delay;
-        let last = self.log.iter().rev().find(has);
-        let number = last.map_or(FIRST_NUMBER, |entry| entry.number);
-        let fenced = &self.members[member];
-        if fenced.fence == 0 {
-            return number;
+    /// Returns the delay until a replica receives a commit of the primary.
+    fn delay(&self, member: usize) -> Duration {
+        let regions = [member, self.primary].map(|it| self.members[it].region);
+        if regions[0] == regions[1] { NEAR } else { FAR }
+    }
+
+    /// Returns how many commits a database has received, or has applied for a lag above zero.
+    fn received(&self, member: usize, lag: Duration) -> usize {
+        if member == self.primary {
+            return self.log.len();
         }
-        number.min(fenced.fenced_at)
+        let delay = self.delay(member) + lag;
+        let arrived = self
+            .log
+            .partition_point(|entry| entry.at.elapsed() >= delay);
+        let own = &self.members[member];
+        let count = arrived.max(own.received);
+        if own.fence == 0 {
+            count
+        } else {
+            count.min(own.fenced_at)
+        }
+    }
+
+    /// Returns the term and number of the last commit that a database has received or applied.
+    fn position(&self, member: usize, lag: Duration) -> (u64, u64) {
+        let count = self.received(member, lag);
+        let last = count.checked_sub(1).map(|at| &self.log[at]);
+        last.map_or((FIRST_TERM, FIRST_NUMBER), |entry| {
+            (entry.term, entry.number)
+        })
     }
 }
 
@@ -295,8 +427,8 @@
 impl Session<'_> {
     fn ready_line(&self) -> String {
         let state = self.group.lock();
-        let number = state.position(self.member, state.lag);
-        format!("READY {} {}.{number}\r\n", self.state, state.term)
+        let (term, number) = state.position(self.member, self.group.shape.lag);
+        format!("READY {} {term}.{number}\r\n", self.state)
     }
 
     /// Returns the reply without its last three bytes if the reply to a write has to be cut off.
@@ -316,6 +448,9 @@
     fn handle(&mut self, message: &str) -> Option<String> {
         let (id, text) = message.strip_prefix("QUERY ")?.split_once(' ')?;
         let result = self.run(id, text);
+        if result == Err(NO_ANSWER) {
+            return None;
+        }
         let mut out = String::new();
         match result {
             Ok(rows) => {
@@ -349,7 +484,7 @@
             let term: u64 = term.parse().map_err(|_| "MALFORMED")?;
             let number: u64 = number.parse().map_err(|_| "MALFORMED")?;
             let state = self.group.lock();
-            if (state.term, state.position(self.member, state.lag)) < (term, number) {
+            if state.position(self.member, self.group.shape.lag) < (term, number) {
                 return Err("LAGGING");
             }
             text = rest;
@@ -383,8 +518,7 @@
                     return Err("READONLY");
                 }
                 self.note(id, text);
-                self.commit(writes);
-                Ok(Vec::new())
+                self.commit(writes)
             }
             ["RESET"] => {
                 self.values.clear();
@@ -424,7 +558,7 @@
                 self.writes.push((item.to_owned(), data.to_owned()));
                 if self.state == 'I' {
                     let writes = std::mem::take(&mut self.writes);
-                    self.commit(writes);
+                    return self.commit(writes);
                 }
                 Ok(Vec::new())
             }
@@ -438,27 +572,53 @@
             return data.clone();
         }
         let state = self.group.lock();
-        let number = state.position(self.member, state.lag);
-        let found = state
-            .log
-            .iter()
-            .rev()
-            .find(|it| it.item == item && it.number <= number);
+        let count = state.received(self.member, self.group.shape.lag);
+        let applied = state.log[..count].iter().rev();
+        let found = applied.filter(|it| it.item == item).next();
         found.map_or_else(|| "-".to_owned(), |entry| entry.data.clone())
     }
 
-    fn commit(&self, writes: Vec<(String, String)>) {
-        let mut state = self.group.lock();
-        let number = state.log.last().map_or(FIRST_NUMBER, |entry| entry.number) + 1;
-        for (item, data) in writes {
-            let at = Instant::now();
-            state.log.push(Entry {
-                number,
-                item,
-                data,
-                at,
-            });
+    /// Commits, and waits until enough replicas have received the commit.
+    fn commit(&self, writes: Vec<(String, String)>) -> Result<Vec<String>, &'static str> {
+        if writes.is_empty() {
+            return Ok(Vec::new());
         }
+        let (number, count) = {
+            let mut state = self.group.lock();
+            let number = state.log.last().map_or(FIRST_NUMBER, |entry| entry.number) + 1;
+            let (term, at) = (state.term, Instant::now());
+            for (item, data) in writes {
+                state.log.push(Entry {
+                    term,
+                    number,
+                    item,
+                    data,
+                    at,
+                });
+            }
+            ((term, number), state.log.len())
+        };
+        let deadline = Instant::now() + SYNC_LIMIT;
+        while Instant::now() < deadline {
+            {
+                let state = self.group.lock();
+                let entry = state.log.get(count - 1).map(|it| (it.term, it.number));
+                if state.primary != self.member || entry != Some(number) {
+                    return Err(NO_ANSWER);
+                }
+                let has = |it: &usize| {
+                    *it != self.member
+                        && !state.members[*it].dark
+                        && state.received(*it, Duration::ZERO) >= count
+                };
+                let received = (0..state.members.len()).filter(has).count();
+                if received >= self.group.shape.sync_replicas {
+                    return Ok(Vec::new());
+                }
+            }
+            thread::sleep(Duration::from_millis(1));
+        }
+        Err(NO_ANSWER)
     }
 
     fn note(&self, id: &str, text: &str) {
@@ -468,7 +628,7 @@
             member: self.member,
             id: id.to_owned(),
             text: text.to_owned(),
-            number: state.position(self.member, state.lag),
+            number: state.position(self.member, self.group.shape.lag).1,
         };
         let shown: String = text.chars().take(120).collect();
         let rest = text.len() - shown.len();
@@ -492,18 +652,22 @@
         let leads = state.primary == self.member;
         if let Some(fence) = fence.filter(|it| !leads && (*it == 0 || *it > term)) {
             if state.members[self.member].fence == 0 {
-                let received = state.position(self.member, RECEIVE_DELAY);
+                let received = state.received(self.member, Duration::ZERO);
                 state.members[self.member].fenced_at = received;
             }
             state.members[self.member].fence = fence;
         }
         let role = if leads { "primary" } else { "replica" };
-        let received = state.position(self.member, RECEIVE_DELAY);
+        let (last_term, received) = state.position(self.member, Duration::ZERO);
         let member = &state.members[self.member];
         Ok(vec![format!(
-            "{role} {term} {term}.{received} {} {} 0 {}",
+            "{role} {term} {last_term}.{received} {} {} 0 {}",
             member.fence,
-            if leads { 0 } else { state.lag.as_millis() },
+            if leads {
+                0
+            } else {
+                self.group.shape.lag.as_millis()
+            },
             member.connections
         )])
     }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -19,11 +19,11 @@
 use std::thread;
 use std::time::Duration;
 
-use self::database::Group;
+use self::database::{Group, Shape};
 use self::http::Request;
 use self::record::Record;
 use self::store::Store;
-use self::vm::{Platform, Vm, ZONES};
+use self::vm::{Platform, Vm};
 
 /// Platform, databases and processes of one case.
 pub struct Fleet {
@@ -49,12 +49,13 @@
     fn start(
         count: usize,
         record: &Path,
+        shape: Shape,
         cloud: impl Fn(&Request, &Arc<Group>) -> u16 + Send + Sync + 'static,
     ) -> Option<Self> {
         let record = Arc::new(Record::create(record));
         let (store, store_address) = Store::start();
-        store.put("op", "config", &configuration());
-        let group = Group::start(&store, &record, &ZONES.map(|(zone, _)| zone));
+        store.put("op", "config", &configuration(shape));
+        let group = Group::start(&store, &record, shape);
         let databases = Arc::clone(&group);
         let cloud = http::serve(move |request| (cloud(request, &databases), String::new()));
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
@@ -101,7 +102,7 @@
     }
 }
 
-fn configuration() -> String {
+fn configuration(shape: Shape) -> String {
     let routes = ROUTES.map(|(database, kind, staleness, timeout, goal, priority)| {
         format!(
             "{{\"name\":\"r-{database}\",\"database_name\":\"{database}\",\"prefix\":\"/\",\
@@ -114,9 +115,10 @@
     format!(
         "{{\"version\":7,\"routes\":[{}],\"services\":[{{\"name\":\"{}\",\
          \"health_path\":\"/health\",\"connection_limit\":33,\"protocol\":\"h1\",\"tls\":false,\
-         \"sync_replicas\":0}}],\"limits\":{{\"transaction_idle_ms\":3000}}}}",
+         \"sync_replicas\":{}}}],\"limits\":{{\"transaction_idle_ms\":3000}}}}",
         routes.join(","),
-        database::SERVICE
+        database::SERVICE,
+        shape.sync_replicas
     )
 }
 
@@ -139,6 +141,7 @@
         ["line-feed", record] => cases::line_feed(Path::new(record)),
         ["killed-client", record] => cases::killed_client(Path::new(record)),
         ["added-process", record] => cases::added_process(Path::new(record)),
+        ["slow-orders", record] => cases::slow_orders(Path::new(record)),
         ["cut-reply", record] => cases::cut_reply(Path::new(record)),
         _ => None,
     };
--- a/review/standin/src/vm.rs
+++ b/review/standin/src/vm.rs
@@ -54,7 +54,9 @@
         let (zone, _) = ZONES[index % ZONES.len()];
         let name = format!("front-{zone}-{}", index / ZONES.len() + 1);
         let [callers, operators, peers] = free_addresses();
-        let regions = ZONES.map(|(zone, region)| format!("{zone:?}:{region:?}"));
+        let zones = ZONES.into_iter().chain([("matamata", "waikato")]);
+        let regions = zones.map(|(zone, region)| format!("{zone:?}: {region:?}"));
+        let regions: Vec<String> = regions.collect();
         let seeds: Vec<String> = seeds.iter().map(|it| format!("\"{it}\"")).collect();
         let text = format!(
             "vm: {name:?}\nzone: {zone:?}\nregions: {{{}}}\ncallers: \"{callers}\"\n\
