--- a/review/standin/src/json.rs
+++ b/review/standin/src/json.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Debug)]
 pub enum Json {
     Null,
-    Bool(bool),
+    Bool,
     Number(String),
     Text(String),
     List(Vec<Json>),
@@ -122,8 +122,8 @@
                 }
             }
             b'"' => self.string().map(Json::Text),
-            b't' => self.word("true", Json::Bool(true)),
-            b'f' => self.word("false", Json::Bool(false)),
+            b't' => self.word("true", Json::Bool),
+            b'f' => self.word("false", Json::Bool),
             b'n' => self.word("null", Json::Null),
             _ => {
                 let start = self.at;
