Read only complete lines from upstreams

A session on a route with read-your-writes did not see its own write if the upstream's reply to it had been cut off inside the READY line.

Cause: LinesCodec hands out the rest of its buffer as a line when the connection ends. "READY I 3.121" of "READY I 3.1210" is a valid line with a lower log position, which became the position of the session's commit and a sample of the leader's log. Ruled out: the position parser, which can't tell the two apart, and the choice of replicas, which followed the recorded position.

Change: LineCodec yields a line only once its ending has arrived. A connection that ends inside a line is broken, so the write is in doubt.

--- a/chervildrift/src/relay/connection.rs
+++ b/chervildrift/src/relay/connection.rs
@@ -18,9 +18,10 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LinesCodec};
+use tokio_util::codec::Framed;
 
 use super::clock;
+use super::line_codec::LineCodec;
 
 /// Timeout for connecting by TCP; several times the longest network delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -77,7 +78,7 @@
 /// Connection to an upstream.
 #[derive(Debug)]
 pub(super) struct Connection {
-    framed: Framed<TcpStream, LinesCodec>,
+    framed: Framed<TcpStream, LineCodec>,
     variables: SessionVariables,
     prepared_names: HashSet<Box<str>>,
     /// Number of commands whose replies have not been read.
@@ -118,7 +119,7 @@
         SockRef::from(&stream)
             .set_tcp_keepalive(&keepalive)
             .map_err(broken)?;
-        let codec = LinesCodec::new_with_max_length(MAX_LINE_BYTES);
+        let codec = LineCodec::new(MAX_LINE_BYTES);
         let mut connection = Self {
             framed: Framed::new(stream, codec),
             variables: SessionVariables::new(),
--- a/chervildrift/src/relay/mod.rs
+++ b/chervildrift/src/relay/mod.rs
@@ -15,6 +15,7 @@
 mod holder;
 mod leader_monitor;
 mod leases;
+mod line_codec;
 mod link;
 mod listener;
 mod log_quotas;
--- a/chervildrift/tests/relay_reads.rs
+++ b/chervildrift/tests/relay_reads.rs
@@ -11,6 +11,9 @@
 /// Lag with which replicas never apply a commit during a test.
 const UNBOUNDED_LAG: Duration = Duration::from_secs(600);
 
+/// Time after which replicas without lag have applied a commit.
+const APPLY_TIME: Duration = Duration::from_millis(100);
+
 /// Guards against reads at replicas that have not applied the last commit of the session.
 #[tokio::test(flavor = "multi_thread")]
 async fn own_commits() {
@@ -83,3 +86,27 @@
         assert!(response.succeeded(), "{response:?}");
     }
 }
+
+/// Guards against a stale read after a write whose reply was cut off inside the log position, which
+/// then reads as a lower one.
+#[tokio::test(flavor = "multi_thread")]
+async fn cut_position() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let databases = &fleet.platform.databases;
+    // Positions have two digits from the tenth commit on.
+    for cut_bytes in [3, 2, 1] {
+        databases.set_apply_lag(Duration::ZERO);
+        let mut session = fleet.vms[0].session("own").await;
+        for round in 0..10 {
+            assert!(session.run(&format!("WRITE x {round}")).await.succeeded());
+        }
+        tokio::time::sleep(APPLY_TIME).await;
+        databases.set_apply_lag(UNBOUNDED_LAG);
+        databases.cut_reply(cut_bytes);
+        let written = session.run("WRITE x last").await;
+        let read = session.run("READ x").await;
+        let is_stale = written.succeeded() && read.rows != ["last"];
+        assert!(!is_stale, "{cut_bytes} bytes cut: {written:?} {read:?}");
+        assert_eq!(written.code(), "INDOUBT", "{cut_bytes} bytes cut");
+    }
+}
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -75,6 +75,8 @@
     last_token: u64,
     apply_lag: Duration,
     lost_answers: u32,
+    /// Number of bytes that the next reply to a write lacks at its end; 0 for a whole reply.
+    cut_bytes: usize,
     ignored_orders: u32,
     /// Number of the next promotion orders that run late, and their delay.
     delayed_orders: (u32, Duration),
@@ -121,6 +123,7 @@
                 last_token: 0,
                 apply_lag: options.apply_lag,
                 lost_answers: 0,
+                cut_bytes: 0,
                 ignored_orders: 0,
                 delayed_orders: (0, Duration::ZERO),
                 executions: Vec::new(),
@@ -235,6 +238,15 @@
         self.lock().lost_answers = count;
     }
 
+    /// Cuts off the last `bytes` of the reply to the next write and closes the connection.
+    pub fn cut_reply(&self, bytes: usize) {
+        self.lock().cut_bytes = bytes;
+    }
+
+    pub(super) fn consume_cut(&self) -> usize {
+        std::mem::take(&mut self.lock().cut_bytes)
+    }
+
     /// Ignores the next `count` promotion orders without a response.
     pub fn ignore_orders(&self, count: u32) {
         self.lock().ignored_orders = count;
--- a/chervildrift_standin/src/deployment/session.rs
+++ b/chervildrift_standin/src/deployment/session.rs
@@ -85,8 +85,11 @@
             break;
         }
         let mut out = String::new();
-        connected = session.handle_message(&line, &mut out)
-            && lines.get_mut().write_all(out.as_bytes()).await.is_ok();
+        connected = session.handle_message(&line, &mut out);
+        let is_write = line.contains(" WRITE ");
+        let cut_bytes = if is_write { databases.consume_cut() } else { 0 };
+        let sent = &out.as_bytes()[..out.len().saturating_sub(cut_bytes)];
+        connected &= lines.get_mut().write_all(sent).await.is_ok() && cut_bytes == 0;
     }
     if databases.is_unresponsive(member) {
         std::future::pending::<()>().await;
