Drop statements that callers did not finish sending

When a caller was killed while it sent a write, the part of the text that had arrived was run and committed.

Cause: as for the replies of upstreams, LinesCodec hands out the rest of its buffer as a line when the connection ends.

Change: callers' sessions are read by LineCodec, which yields a line only once its ending has arrived.

The new test unfinished_statement failed before the change: the upstreams ran "WRITE x part" twice beside "WRITE y whole".

--- a/chervildrift/src/relay/session.rs
+++ b/chervildrift/src/relay/session.rs
@@ -14,10 +14,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{Framed, LinesCodec, LinesCodecError};
+use tokio_util::codec::Framed;
 
 use super::autocommit::{self, AutocommitStatement};
 use super::clock;
+use super::line_codec::{LineCodec, LineCodecError};
 use super::log_quotas::RequestEvent;
 use super::node::Node;
 use super::response::{Failure, Response};
@@ -40,7 +41,7 @@
 /// Connection of one caller.
 struct CallerConnection {
     node: Rc<Node>,
-    framed: Framed<TcpStream, LinesCodec>,
+    framed: Framed<TcpStream, LineCodec>,
     database: Box<str>,
     caller: Caller,
     session: Session,
@@ -66,7 +67,7 @@
     let caller = stream.peer_addr().map(|it| it.to_string());
     let mut connection = CallerConnection {
         node: Rc::clone(&node),
-        framed: Framed::new(stream, LinesCodec::new_with_max_length(MAX_LINE_BYTES)),
+        framed: Framed::new(stream, LineCodec::new(MAX_LINE_BYTES)),
         database: Box::default(),
         caller: Caller::from(caller.unwrap_or_default()),
         session: Session::default(),
@@ -108,12 +109,12 @@
     async fn start_session(&mut self) -> std::io::Result<bool> {
         let line = match timeout(START_TIMEOUT, self.framed.next()).await {
             Ok(Some(Ok(line))) => line,
-            Ok(Some(Err(_))) => {
+            Ok(Some(Err(LineCodecError::TooLong))) => {
                 self.send_final_error(Code::TooLarge, "message too long")
                     .await?;
                 return Ok(false);
             }
-            Ok(None) | Err(_) => return Ok(false),
+            Ok(Some(Err(_)) | None) | Err(_) => return Ok(false),
         };
         let Some(Request::Start { database }) = wire::parse_request(&line) else {
             self.send_final_error(Code::Malformed, "a session starts first")
@@ -180,8 +181,8 @@
             biased;
             line = self.framed.next() => match line {
                 Some(Ok(line)) => ConnectionEvent::Line(line),
-                Some(Err(LinesCodecError::MaxLineLengthExceeded)) => ConnectionEvent::TooLong,
-                Some(Err(LinesCodecError::Io(_))) | None => ConnectionEvent::Closed,
+                Some(Err(LineCodecError::TooLong)) => ConnectionEvent::TooLong,
+                Some(Err(_)) | None => ConnectionEvent::Closed,
             },
             () = idle_close, if self.session.transaction == TransactionStatus::Idle => ConnectionEvent::Stopping,
             () = sleep(idle), if open => ConnectionEvent::TransactionIdle,
--- a/chervildrift/tests/relay_fleet/mod.rs
+++ b/chervildrift/tests/relay_fleet/mod.rs
@@ -251,6 +251,12 @@
         self.read_response().await
     }
 
+    /// Sends the beginning of a message and closes the connection.
+    pub async fn send_unfinished(mut self, text: &str) {
+        let stream = self.lines.get_mut();
+        stream.write_all(text.as_bytes()).await.expect("sent");
+    }
+
     /// Reads a response up to its end.
     pub async fn read_response(&mut self) -> Response {
         let mut response = Response::default();
--- a/chervildrift/tests/relay_sessions.rs
+++ b/chervildrift/tests/relay_sessions.rs
@@ -3,10 +3,15 @@
 
 mod relay_fleet;
 
+use std::time::Duration;
+
 use chervildrift_standin::deployment::Options;
 
 use relay_fleet::{Fleet, Session, unique_id};
 
+/// Time after which a statement that a VM has received has run.
+const RUN_TIME: Duration = Duration::from_millis(300);
+
 /// Guards against statements on connections with the session variables of another session.
 #[tokio::test(flavor = "multi_thread")]
 async fn session_variables() {
@@ -193,3 +198,20 @@
         tokio::time::sleep(std::time::Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against running the part of a statement that had arrived when its caller was killed.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_statement() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    for ending in ["", "\r"] {
+        let session = fleet.vms[0].session("strict").await;
+        let text = format!("QUERY {} WRITE x part{ending}", unique_id());
+        session.send_unfinished(&text).await;
+    }
+    tokio::time::sleep(RUN_TIME).await;
+    let mut session = fleet.vms[0].session("strict").await;
+    assert!(session.run("WRITE y whole").await.succeeded());
+    let runs = fleet.platform.databases.executions();
+    let texts: Vec<&str> = runs.iter().map(|it| it.text.as_str()).collect();
+    assert_eq!(texts, ["WRITE y whole"]);
+}
