Drop messages between VMs that are cut off inside a line

A request for a tunnel whose end was lost could name another upstream, such as "TUNNEL i-1" of "TUNNEL i-12". The VM opened a connection to that one; its sender was gone, so no statement took the wrong way and callers saw nothing but one connection less in the upstream's limit.

The JSON messages of links are not affected, since no beginning of one is valid.

Change: links and tunnel requests are read by LineCodec.

The new test unfinished_request failed before the change (the VM answered "CONNECTED") and passes now.

--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -22,10 +22,11 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LinesCodec};
+use tokio_util::codec::Framed;
 
 use super::clock;
 use super::connection::{ConnectionError, Reply};
+use super::line_codec::LineCodec;
 
 /// Maximum length of a message; enough for a configuration with some thousand routes.
 pub(super) const MAX_MESSAGE_BYTES: usize = 4 << 20;
@@ -213,13 +214,13 @@
 /// Open link to another VM.
 #[derive(Debug)]
 pub(super) struct Link {
-    framed: Framed<TcpStream, LinesCodec>,
+    framed: Framed<TcpStream, LineCodec>,
     last_used: Time,
 }
 
 impl Link {
     /// Wraps a connected stream.
-    pub(super) fn new(framed: Framed<TcpStream, LinesCodec>) -> Self {
+    pub(super) fn new(framed: Framed<TcpStream, LineCodec>) -> Self {
         Self {
             framed,
             last_used: clock::now(),
@@ -236,7 +237,7 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_PROBES);
         SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
-        let codec = LinesCodec::new_with_max_length(MAX_MESSAGE_BYTES);
+        let codec = LineCodec::new(MAX_MESSAGE_BYTES);
         Ok(Self::new(Framed::new(stream, codec)))
     }
 
--- a/chervildrift/src/relay/peers.rs
+++ b/chervildrift/src/relay/peers.rs
@@ -15,9 +15,10 @@
 use tokio::io::{AsyncWriteExt, copy_bidirectional};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::{Framed, LinesCodec};
+use tokio_util::codec::Framed;
 
 use super::holder;
+use super::line_codec::LineCodec;
 use super::link::{Link, MAX_MESSAGE_BYTES};
 use super::node::Node;
 use super::stop::StopPhase;
@@ -64,7 +65,7 @@
 
 async fn serve_peer(node: &Rc<Node>, stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let mut lines = Framed::new(stream, LinesCodec::new_with_max_length(MAX_MESSAGE_BYTES));
+    let mut lines = Framed::new(stream, LineCodec::new(MAX_MESSAGE_BYTES));
     let Ok(Some(Ok(line))) = timeout(REQUEST_TIMEOUT, lines.next()).await else {
         return Ok(());
     };
@@ -141,7 +142,7 @@
         stream.set_nodelay(true).ok()?;
         let request = [TUNNEL_REQUEST, upstream.as_str(), "\n"].concat();
         stream.write_all(request.as_bytes()).await.ok()?;
-        let mut lines = Framed::new(stream, LinesCodec::new_with_max_length(MAX_MESSAGE_BYTES));
+        let mut lines = Framed::new(stream, LineCodec::new(MAX_MESSAGE_BYTES));
         let line = lines.next().await?.ok()?;
         // Upstreams send nothing unasked, so the codec has no bytes buffered.
         (line == TUNNEL_CONFIRMATION).then(|| lines.into_inner())
--- a/chervildrift/tests/relay_peers.rs
+++ b/chervildrift/tests/relay_peers.rs
@@ -249,3 +249,15 @@
     assert!(response.succeeded(), "{response:?}");
     assert_eq!(session.run("READ x").await.rows, ["1"]);
 }
+
+/// Guards against a tunnel to another upstream if the end of the name in the request is lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn unfinished_request() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let stream = TcpStream::connect(fleet.vms[0].peers).await;
+    let mut stream = stream.expect("a peer");
+    stream.write_all(b"TUNNEL i-1").await.expect("sent");
+    stream.shutdown().await.expect("the sending end closes");
+    let response = BufReader::new(stream).lines().next_line().await;
+    assert_eq!(response.ok().flatten(), None);
+}
