End lines of callers and upstreams at CR LF only

A line feed in a caller's field ended the statement: its data was stored up to there, and the rest of the field was run as another statement with an id of its own. A row with a line feed could not be read back.

Cause: lines ended at each LF. The protocol ends them at CR LF, so a lone LF is part of a field.

Change: LineCodec takes the line ending, CR LF for callers and upstreams. Messages between VMs still end at LF, which JSON escapes. The stand-in of the databases ends its lines at CR LF too; before, it could not tell the two readings apart.

The new test line_feeds failed before the change: the upstreams ran "WRITE x a\rb", and twice "WRITE y taken", which was inside a field.

--- a/chervildrift/src/relay/connection.rs
+++ b/chervildrift/src/relay/connection.rs
@@ -8,7 +8,7 @@
 use chervildrift_core::relay::{Code, PreparedStatement, Session, SessionVariables, SetupStep};
 use chervildrift_core::types::{LogPosition, Service, Time, Upstream};
 use chervildrift_platform::wire::{
-    Command, MAX_LINE_BYTES, ReplyLine, TransactionState, encode_command, encode_start,
+    Command, LINE_END, MAX_LINE_BYTES, ReplyLine, TransactionState, encode_command, encode_start,
     parse_reply_line,
 };
 use futures::StreamExt;
@@ -119,7 +119,7 @@
         SockRef::from(&stream)
             .set_tcp_keepalive(&keepalive)
             .map_err(broken)?;
-        let codec = LineCodec::new(MAX_LINE_BYTES);
+        let codec = LineCodec::new(LINE_END, MAX_LINE_BYTES);
         let mut connection = Self {
             framed: Framed::new(stream, codec),
             variables: SessionVariables::new(),
--- a/chervildrift/src/relay/line_codec.rs
+++ b/chervildrift/src/relay/line_codec.rs
@@ -3,7 +3,7 @@
 //! Only a line ending completes a message. If a connection ends inside a line, the beginning that
 //! has arrived may look like a whole message with another meaning, so it is never handed out.
 
-use memchr::memchr;
+use memchr::memmem;
 use quick_error::quick_error;
 use tokio_util::bytes::BytesMut;
 use tokio_util::codec::Decoder;
@@ -36,15 +36,17 @@
 /// Decoder of lines without their endings.
 #[derive(Debug)]
 pub(super) struct LineCodec {
+    ending: &'static str,
     max_bytes: usize,
-    /// Number of buffered bytes that contain no line ending.
+    /// Number of buffered bytes in which no line ending begins.
     searched: usize,
 }
 
 impl LineCodec {
-    /// Creates a codec for lines of at most `max_bytes`.
-    pub(super) const fn new(max_bytes: usize) -> Self {
+    /// Creates a codec for lines of at most `max_bytes` in front of this ending.
+    pub(super) const fn new(ending: &'static str, max_bytes: usize) -> Self {
         Self {
+            ending,
             max_bytes,
             searched: 0,
         }
@@ -56,21 +58,22 @@
     type Error = LineCodecError;
 
     fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<String>, LineCodecError> {
-        let Some(found) = memchr(b'\n', &buffer[self.searched..]) else {
-            self.searched = buffer.len();
-            if buffer.len() > self.max_bytes {
+        let ending = self.ending.as_bytes();
+        let Some(found) = memmem::find(&buffer[self.searched..], ending) else {
+            // The buffer may end with the beginning of a line ending.
+            self.searched = buffer.len().saturating_sub(ending.len() - 1);
+            if self.searched > self.max_bytes {
                 return Err(LineCodecError::TooLong);
             }
             return Ok(None);
         };
-        let line = buffer.split_to(self.searched + found + 1);
+        let length = self.searched + found;
         self.searched = 0;
-        if line.len() > self.max_bytes + 1 {
+        let line = buffer.split_to(length + ending.len());
+        if length > self.max_bytes {
             return Err(LineCodecError::TooLong);
         }
-        let line = &line[..line.len() - 1];
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
-        Ok(Some(std::str::from_utf8(line)?.to_owned()))
+        Ok(Some(std::str::from_utf8(&line[..length])?.to_owned()))
     }
 
     fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<String>, LineCodecError> {
--- a/chervildrift/src/relay/link.rs
+++ b/chervildrift/src/relay/link.rs
@@ -31,6 +31,9 @@
 /// Maximum length of a message; enough for a configuration with some thousand routes.
 pub(super) const MAX_MESSAGE_BYTES: usize = 4 << 20;
 
+/// Ending of a message; JSON escapes line feeds in strings.
+pub(super) const MESSAGE_END: &str = "\n";
+
 /// Timeout for connecting to another VM; several times the longest network delay between regions.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -237,14 +240,14 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_PROBES);
         SockRef::from(&stream).set_tcp_keepalive(&keepalive)?;
-        let codec = LineCodec::new(MAX_MESSAGE_BYTES);
+        let codec = LineCodec::new(MESSAGE_END, MAX_MESSAGE_BYTES);
         Ok(Self::new(Framed::new(stream, codec)))
     }
 
     /// Sends a message.
     pub(super) async fn send(&mut self, message: &impl Serialize) -> std::io::Result<()> {
         let mut out = serde_json::to_vec(message)?;
-        out.push(b'\n');
+        out.extend_from_slice(MESSAGE_END.as_bytes());
         self.last_used = clock::now();
         self.framed.get_mut().write_all(&out).await
     }
--- a/chervildrift/src/relay/peers.rs
+++ b/chervildrift/src/relay/peers.rs
@@ -19,7 +19,7 @@
 
 use super::holder;
 use super::line_codec::LineCodec;
-use super::link::{Link, MAX_MESSAGE_BYTES};
+use super::link::{Link, MAX_MESSAGE_BYTES, MESSAGE_END};
 use super::node::Node;
 use super::stop::StopPhase;
 
@@ -65,7 +65,7 @@
 
 async fn serve_peer(node: &Rc<Node>, stream: TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let mut lines = Framed::new(stream, LineCodec::new(MAX_MESSAGE_BYTES));
+    let mut lines = Framed::new(stream, LineCodec::new(MESSAGE_END, MAX_MESSAGE_BYTES));
     let Ok(Some(Ok(line))) = timeout(REQUEST_TIMEOUT, lines.next()).await else {
         return Ok(());
     };
@@ -91,7 +91,7 @@
     // The requesting VM sends nothing before the confirmation, so the codec has no bytes buffered.
     let mut peer_stream = lines.into_inner();
     peer_stream
-        .write_all([TUNNEL_CONFIRMATION, "\n"].concat().as_bytes())
+        .write_all([TUNNEL_CONFIRMATION, MESSAGE_END].concat().as_bytes())
         .await?;
     node.tunnel_count.set(node.tunnel_count.get() + 1);
     let result = copy_bidirectional(&mut peer_stream, &mut upstream_stream).await;
@@ -140,9 +140,9 @@
     let open = async {
         let mut stream = TcpStream::connect(peer.address).await.ok()?;
         stream.set_nodelay(true).ok()?;
-        let request = [TUNNEL_REQUEST, upstream.as_str(), "\n"].concat();
+        let request = [TUNNEL_REQUEST, upstream.as_str(), MESSAGE_END].concat();
         stream.write_all(request.as_bytes()).await.ok()?;
-        let mut lines = Framed::new(stream, LineCodec::new(MAX_MESSAGE_BYTES));
+        let mut lines = Framed::new(stream, LineCodec::new(MESSAGE_END, MAX_MESSAGE_BYTES));
         let line = lines.next().await?.ok()?;
         // Upstreams send nothing unasked, so the codec has no bytes buffered.
         (line == TUNNEL_CONFIRMATION).then(|| lines.into_inner())
--- a/chervildrift/src/relay/session.rs
+++ b/chervildrift/src/relay/session.rs
@@ -8,7 +8,7 @@
     Access, Code, PreparedStatement, Route, Session, Statement, TransactionStatus,
 };
 use chervildrift_core::types::Caller;
-use chervildrift_platform::wire::{self, MAX_LINE_BYTES, Request};
+use chervildrift_platform::wire::{self, LINE_END, MAX_LINE_BYTES, Request};
 use futures::StreamExt;
 use slog::{debug, info};
 use tokio::io::AsyncWriteExt;
@@ -67,7 +67,7 @@
     let caller = stream.peer_addr().map(|it| it.to_string());
     let mut connection = CallerConnection {
         node: Rc::clone(&node),
-        framed: Framed::new(stream, LineCodec::new(MAX_LINE_BYTES)),
+        framed: Framed::new(stream, LineCodec::new(LINE_END, MAX_LINE_BYTES)),
         database: Box::default(),
         caller: Caller::from(caller.unwrap_or_default()),
         session: Session::default(),
--- a/chervildrift/tests/relay_fleet/mod.rs
+++ b/chervildrift/tests/relay_fleet/mod.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use chervildrift_standin::deployment::{self, Handle, Options};
-use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader, Lines};
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -231,7 +231,7 @@
 
 /// Session of a caller.
 pub struct Session {
-    lines: Lines<BufReader<TcpStream>>,
+    reader: BufReader<TcpStream>,
 }
 
 impl Session {
@@ -239,21 +239,21 @@
     pub async fn connect(address: SocketAddr) -> Self {
         let stream = TcpStream::connect(address).await.expect("a connection");
         Self {
-            lines: BufReader::new(stream).lines(),
+            reader: BufReader::new(stream),
         }
     }
 
     /// Sends a line and reads the response up to its end.
     pub async fn send(&mut self, line: &str) -> Response {
         let out = format!("{line}\r\n");
-        let stream = self.lines.get_mut();
+        let stream = self.reader.get_mut();
         stream.write_all(out.as_bytes()).await.expect("sent");
         self.read_response().await
     }
 
     /// Sends the beginning of a message and closes the connection.
     pub async fn send_unfinished(mut self, text: &str) {
-        let stream = self.lines.get_mut();
+        let stream = self.reader.get_mut();
         stream.write_all(text.as_bytes()).await.expect("sent");
     }
 
@@ -261,7 +261,7 @@
     pub async fn read_response(&mut self) -> Response {
         let mut response = Response::default();
         let read = async {
-            while let Ok(Some(line)) = self.lines.next_line().await {
+            while let Some(line) = self.read_line().await {
                 if let Some(row) = line.strip_prefix("ROW ") {
                     response.rows.push(row.to_owned());
                 } else if line.starts_with("READY ") {
@@ -278,6 +278,19 @@
         response
     }
 
+    /// Reads a line up to CR LF and returns it without this ending; `None` at the end of the
+    /// connection.
+    async fn read_line(&mut self) -> Option<String> {
+        let mut line = Vec::new();
+        while !line.ends_with(b"\r\n") {
+            if self.reader.read_until(b'\n', &mut line).await.ok()? == 0 {
+                return None;
+            }
+        }
+        line.truncate(line.len() - 2);
+        String::from_utf8(line).ok()
+    }
+
     /// Runs a statement under a new id.
     pub async fn run(&mut self, text: &str) -> Response {
         self.send(&format!("QUERY {} {text}", unique_id())).await
--- a/chervildrift/tests/relay_sessions.rs
+++ b/chervildrift/tests/relay_sessions.rs
@@ -215,3 +215,26 @@
     let texts: Vec<&str> = runs.iter().map(|it| it.text.as_str()).collect();
     assert_eq!(texts, ["WRITE y whole"]);
 }
+
+/// Guards against a line feed in a caller's field that ends the statement, so that the rest of the
+/// field runs as another one.
+#[tokio::test(flavor = "multi_thread")]
+async fn line_feeds() {
+    let fleet = Fleet::spawn(1, &Options::default()).await;
+    let mut session = fleet.vms[0].session("strict").await;
+    let smuggled = format!("lift\nQUERY {} WRITE y taken", unique_id());
+    let value = format!("a\rb\n{smuggled}");
+    let written = session.run(&format!("WRITE x {value}")).await;
+    let read = session.run("READ x").await;
+    let set = session.run(&format!("SET note {smuggled}")).await;
+    let last = session.run("WRITE z 1").await;
+    let runs = fleet.platform.databases.executions();
+    let texts: Vec<&str> = runs.iter().map(|it| it.text.as_str()).collect();
+    assert_eq!(texts, [&format!("WRITE x {value}"), "READ x", "WRITE z 1"]);
+    assert!(
+        written.succeeded() && last.succeeded(),
+        "{written:?} {last:?}"
+    );
+    assert_eq!(read.rows, [value]);
+    assert_eq!(set.result, "COMPLETE -");
+}
--- a/chervildrift_standin/src/deployment/session.rs
+++ b/chervildrift_standin/src/deployment/session.rs
@@ -36,8 +36,9 @@
 
 /// Serves one connection until either side closes it.
 pub(super) async fn serve(databases: Arc<DatabaseGroup>, member: usize, stream: TcpStream) {
-    let mut lines = BufReader::new(stream).lines();
-    let Ok(Some(start)) = lines.next_line().await else {
+    let mut reader = BufReader::new(stream);
+    let mut buffer = Vec::new();
+    let Some(start) = read_line(&mut reader, &mut buffer).await else {
         return;
     };
     if databases.is_unresponsive(member) {
@@ -54,7 +55,7 @@
         let at_limit = known_service && expected_member;
         replies::write_failure(if at_limit { "OVERLOADED" } else { "WRONGNODE" }, &mut out);
         // The connection closes whether or not the refusal arrives.
-        let _sent = lines.get_mut().write_all(out.as_bytes()).await;
+        let _sent = reader.get_mut().write_all(out.as_bytes()).await;
         return;
     }
     replies::write_ready('I', databases.applied_position(member), &mut out);
@@ -67,7 +68,7 @@
         variables: BTreeMap::new(),
         prepared: HashMap::new(),
     };
-    let mut connected = lines.get_mut().write_all(out.as_bytes()).await.is_ok();
+    let mut connected = reader.get_mut().write_all(out.as_bytes()).await.is_ok();
     let close_count = databases.close_count();
     while connected {
         let closing = databases.closing.notified();
@@ -75,10 +76,10 @@
             break;
         }
         let line = tokio::select! {
-            line = lines.next_line() => line,
+            line = read_line(&mut reader, &mut buffer) => line,
             () = closing => break,
         };
-        let Ok(Some(line)) = line else {
+        let Some(line) = line else {
             break;
         };
         if databases.is_unresponsive(member) {
@@ -89,7 +90,7 @@
         let is_write = line.contains(" WRITE ");
         let cut_bytes = if is_write { databases.consume_cut() } else { 0 };
         let sent = &out.as_bytes()[..out.len().saturating_sub(cut_bytes)];
-        connected &= lines.get_mut().write_all(sent).await.is_ok() && cut_bytes == 0;
+        connected &= reader.get_mut().write_all(sent).await.is_ok() && cut_bytes == 0;
     }
     if databases.is_unresponsive(member) {
         std::future::pending::<()>().await;
@@ -97,6 +98,19 @@
     databases.disconnect(member);
 }
 
+/// Reads a line up to CR LF and returns it without this ending; `None` at the end of the connection.
+///
+/// Cancelling this keeps the part that has arrived in the buffer.
+async fn read_line(reader: &mut BufReader<TcpStream>, buffer: &mut Vec<u8>) -> Option<String> {
+    while !buffer.ends_with(b"\r\n") {
+        if reader.read_until(b'\n', buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+    let line = std::mem::take(buffer);
+    String::from_utf8(line[..line.len() - 2].to_vec()).ok()
+}
+
 impl Session {
     /// Handles a message; returns false if the connection must close.
     fn handle_message(&mut self, line: &str, out: &mut String) -> bool {
