--- a/chervildrift/src/relay/line_codec.rs
+++ b/chervildrift/src/relay/line_codec.rs
@@ -57,11 +57,11 @@
     type Item = String;
     type Error = LineCodecError;
 
-    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<String>, LineCodecError> {
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<String>, LineCodecError> {
         let ending = self.ending.as_bytes();
-        let Some(found) = memmem::find(&buffer[self.searched..], ending) else {
+        let Some(found) = memmem::find(&src[self.searched..], ending) else {
             // The buffer may end with the beginning of a line ending.
-            self.searched = buffer.len().saturating_sub(ending.len() - 1);
+            self.searched = src.len().saturating_sub(ending.len() - 1);
             if self.searched > self.max_bytes {
                 return Err(LineCodecError::TooLong);
             }
@@ -69,16 +69,16 @@
         };
         let length = self.searched + found;
         self.searched = 0;
-        let line = buffer.split_to(length + ending.len());
+        let line = src.split_to(length + ending.len());
         if length > self.max_bytes {
             return Err(LineCodecError::TooLong);
         }
         Ok(Some(std::str::from_utf8(&line[..length])?.to_owned()))
     }
 
-    fn decode_eof(&mut self, buffer: &mut BytesMut) -> Result<Option<String>, LineCodecError> {
-        match self.decode(buffer)? {
-            None if !buffer.is_empty() => Err(LineCodecError::Incomplete),
+    fn decode_eof(&mut self, buf: &mut BytesMut) -> Result<Option<String>, LineCodecError> {
+        match self.decode(buf)? {
+            None if !buf.is_empty() => Err(LineCodecError::Incomplete),
             line => Ok(line),
         }
     }
