Keep replicas fenced instead of ordering the old leader

On a service with a synchronous replica, acknowledged commits were lost when a primary was dark for 2.5 s while the platform carried out orders 3 s late; the primary changed twice where it should have changed once.

Cause: an order that names the leader, sent to invalidate an earlier order without an answer, is a promotion itself. Carried out after the earlier one, it replaces the successor, and the old leader lacks what the successor and another replica have acknowledged. Ruled out: the fencing tokens, which rise and are checked, and the choice of the successor, whose promotion dropped nothing that had been acknowledged.

Change: where replicas acknowledge commits, no order names another upstream than the chosen one. Instead the VM keeps the other replicas fenced as long as one of its orders may still take effect (12 s, and 4 s for the promotion), also when the old leader works again, so that the target has all that is acknowledged. Unanswered orders carry the time at which they expire. Other VMs lift such fences after 24 s instead of 8 s. A leader that is leaving is no longer protected but replaced.

A replica of the stand-in that was fenced or cut off catches up now; before, it never received anything again, which hid the loss.

Services without synchronous replicas still revoke orders.

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -4,18 +4,19 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{
-    ElectionAction, ElectionState, Lease, ORDER_WINDOW, Vote, decide_election,
+    ElectionAction, ElectionState, Lease, ORDER_WINDOW, PROMOTION_DURATION, Vote, decide_election,
 };
 use chervildrift_core::types::{Service, Time, Upstream, Vm};
 use chervildrift_platform::promotion::Error as OrderError;
 use chervildrift_platform::store::{Error, Listing, Transaction};
 use slog::{info, warn};
+use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
 use super::clock;
 use super::leases::{acquire_lease, decode_record, encode_record, lease_key};
 use super::node::Node;
-use super::orders::{Orders, PROMOTION_DURATION};
+use super::orders::{Orders, Threat, find_threat};
 use super::presence::{TABLE, live_observers, row_key};
 use super::selection::LeaderSelection;
 use super::view;
@@ -56,8 +57,8 @@
     lease: Option<(Lease, u64)>,
 }
 
-/// Runs the failover until the leader need not be replaced any more; revokes orders that may still
-/// take effect.
+/// Runs the failover until the leader need not be replaced any more and no order may still replace
+/// it.
 pub(super) async fn run(
     node: &Rc<Node>,
     service: &Service,
@@ -98,7 +99,7 @@
             }
         }
     }
-    failover.orders.revoke().await;
+    failover.settle_orders().await;
     failover.await_leader().await;
     failover.selection.lift_fences().await;
 }
@@ -205,6 +206,39 @@
         last.is_some_and(|(_, at)| now.since(*at) < PROMOTION_DURATION)
     }
 
+    /// Protects a leader that works from outstanding orders until none may take effect any more.
+    ///
+    /// Where replicas acknowledge commits, fences keep those from being acknowledged that the target
+    /// of such an order lacks. Elsewhere fences can't prevent loss, and the orders are revoked.
+    async fn settle_orders(&mut self) {
+        let fenceable = self.node.sync_replicas(self.service) > 0;
+        let mut last_targets = SmallVec::new();
+        while let Some(threat) = self.current_threat() {
+            if threat.targets != last_targets {
+                info!(self.node.log, "order may replace leader"; "event" => "failover",
+                    "service" => %self.service, "leader" => %threat.leader,
+                    "targets" => ?threat.targets);
+            }
+            if fenceable {
+                self.selection.renew_fences(&threat).await;
+            } else {
+                self.orders.revoke(&threat.leader).await;
+            }
+            last_targets = threat.targets;
+            if self.current_threat().is_some() {
+                sleep(ORDER_RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Returns the threat to the current leader, unless that leaves and has to be replaced anyway.
+    fn current_threat(&self) -> Option<Threat> {
+        let now = clock::now();
+        let threat = find_threat(self.node, self.service)?;
+        let is_leaving = self.node.directory.borrow().is_leaving(now, &threat.leader);
+        (!is_leaving).then_some(threat)
+    }
+
     /// Waits until the target of an accepted order leads, so that the fences stay until then even
     /// if the old leader responds again meanwhile.
     async fn await_leader(&self) {
--- a/chervildrift/src/relay/leader_monitor.rs
+++ b/chervildrift/src/relay/leader_monitor.rs
@@ -21,7 +21,7 @@
 use super::connection::ConnectionError;
 use super::failover;
 use super::node::Node;
-use super::orders::leader_at_risk;
+use super::orders::find_threat;
 use super::pool::AcquireRequest;
 
 /// Interval at which all services are checked.
@@ -129,7 +129,7 @@
     if !node.is_observer() && !node.leases.borrow().contains_key(service) {
         return;
     }
-    if planned || suspected || leader_at_risk(node, service).is_some() {
+    if planned || suspected || find_threat(node, service).is_some() {
         start_failover(node, tasks, service, leader, planned);
     }
 }
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -271,6 +271,12 @@
         run(self.groups.borrow_mut().entry(service.clone()).or_default())
     }
 
+    /// Returns the number of replicas that receive a commit before the leader acknowledges it.
+    pub(super) fn sync_replicas(&self, service: &Service) -> usize {
+        let rules = self.routes.borrow().rules(service);
+        rules.map_or(0, |rules| rules.sync_replicas)
+    }
+
     /// Returns the leader of a service once there is one that is neither suspected nor closed to
     /// new work; fails after `limit`.
     pub(super) async fn await_leader(
--- a/chervildrift/src/relay/orders.rs
+++ b/chervildrift/src/relay/orders.rs
@@ -1,31 +1,24 @@
-//! Orders to the platform to promote an upstream, and revocation of unanswered ones.
+//! Orders to the platform to promote an upstream, and protection from unanswered ones.
 //!
 //! The platform may carry out an order seconds after the request timed out, and it has no query for
 //! the state of an order. Each order has a greater fencing token than the previous one, so that an
 //! accepted order invalidates all earlier ones.
+//!
+//! An order that names the leader, which revokes earlier ones, is a promotion itself: if it is
+//! carried out after one of these, it replaces their target. Where replicas acknowledge commits, no
+//! such order is sent, since the old leader may lack commits that its successor has acknowledged.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use chervildrift_core::relay::Authority;
 use chervildrift_core::types::{Service, Upstream};
 use chervildrift_platform::promotion::{Error, PromotionClient};
 use slog::{info, warn};
-use tokio::time::sleep;
+use smallvec::SmallVec;
 
 use super::clock;
 use super::node::Node;
 
-/// Time that a promotion takes after the order was accepted, including the start of the new leader.
-pub(super) const PROMOTION_DURATION: Duration = Duration::from_secs(4);
-
-/// Time after which an unanswered order is no longer expected to take effect; the platform's
-/// documentation speaks of seconds.
-const REVOKE_TIMEOUT: Duration = Duration::from_secs(12);
-
-/// Delay before an order is repeated.
-const ORDER_RETRY_DELAY: Duration = Duration::from_millis(150);
-
 /// Orders that concern one service.
 pub(super) struct Orders<'a> {
     node: &'a Rc<Node>,
@@ -35,19 +28,43 @@
     promotions: PromotionClient,
 }
 
-/// Returns the current leader of a service if an unanswered order of this VM may still replace it.
-///
-/// Returns `None` if the platform does not check fencing tokens, since a new order can't invalidate
-/// earlier ones then.
-pub(super) fn leader_at_risk(node: &Node, service: &Service) -> Option<Upstream> {
-    if !node.settings.tokens_checked {
+/// Leader that works but may be replaced by an outstanding order.
+#[derive(Clone, Debug)]
+pub(super) struct Threat {
+    /// Current leader.
+    pub leader: Upstream,
+    /// Upstreams that may replace it.
+    pub targets: SmallVec<[Upstream; 2]>,
+}
+
+/// Returns the threat to the leader of a service from outstanding orders of this VM, if the VM can
+/// do anything about it.
+pub(super) fn find_threat(node: &Node, service: &Service) -> Option<Threat> {
+    // Without checked tokens a new order can't invalidate earlier ones.
+    if !node.settings.tokens_checked && node.sync_replicas(service) == 0 {
         return None;
     }
-    let leases = node.leases.borrow();
-    let authority = leases.get(service)?;
     let now = clock::now();
-    let leader = node.with_group(service, |group| group.trusted_leader(now).cloned());
-    leader.filter(|leader| authority.may_replace(leader))
+    let leader = node.with_group(service, |group| group.trusted_leader(now).cloned())?;
+    let targets = replacements(node, service, Some(&leader));
+    (!targets.is_empty()).then_some(Threat { leader, targets })
+}
+
+/// Returns the upstreams that outstanding orders of this VM may make leader in place of this one.
+pub(super) fn replacements(
+    node: &Node,
+    service: &Service,
+    leader: Option<&Upstream>,
+) -> SmallVec<[Upstream; 2]> {
+    let mut leases = node.leases.borrow_mut();
+    let Some(authority) = leases.get_mut(service) else {
+        return SmallVec::new();
+    };
+    if authority.expire_orders(clock::now()) {
+        warn!(node.log, "orders expired without an answer"; "event" => "failover",
+            "service" => %service);
+    }
+    authority.replacements(leader)
 }
 
 impl<'a> Orders<'a> {
@@ -77,46 +94,13 @@
         self.send_order(target, "promotion ordered").await
     }
 
-    /// Prevents unanswered orders from replacing a leader that works.
+    /// Tries to revoke unanswered orders by an order that names the current leader.
     ///
-    /// An order that names the current leader changes nothing but invalidates the fencing tokens of
-    /// all earlier ones. An order that was accepted before it may still take effect. Where replicas
-    /// acknowledge commits, the fences therefore stay for the duration of a promotion.
-    pub(super) async fn revoke(&self) {
-        let deadline = clock::now() + REVOKE_TIMEOUT;
-        while let Some(leader) = leader_at_risk(self.node, self.service) {
-            if clock::now() >= deadline {
-                warn!(self.node.log, "order not revoked"; "event" => "failover",
-                    "service" => %self.service, "leader" => %leader);
-                self.with_authority(Authority::clear_orders);
-                return;
-            }
-            match self.send_order(&leader, "order revoked").await {
-                Ok(()) => return self.await_promotion(&leader).await,
-                Err(Error::Conflict | Error::Rejected(_)) => return,
-                Err(_) => sleep(ORDER_RETRY_DELAY).await,
-            }
-        }
-    }
-
-    /// Waits for the duration of a promotion while this leader works, if the service has
-    /// synchronous replicas.
-    async fn await_promotion(&self, leader: &Upstream) {
-        let rules = self.node.routes.borrow().rules(self.service);
-        if rules.is_none_or(|rules| rules.sync_replicas == 0) {
-            return;
-        }
-        let deadline = clock::now() + PROMOTION_DURATION;
-        let still_leads = || {
-            let now = clock::now();
-            let current = self.node.with_group(self.service, |group| {
-                group.trusted_leader(now) == Some(leader)
-            });
-            current && now < deadline
-        };
-        while still_leads() {
-            sleep(ORDER_RETRY_DELAY).await;
-        }
+    /// It changes nothing if the leader still leads when it is carried out, but invalidates the
+    /// fencing tokens of all earlier orders.
+    pub(super) async fn revoke(&self, leader: &Upstream) {
+        // The order's outcome is logged and recorded in the authority.
+        let _outcome = self.send_order(leader, "order revoked").await;
     }
 
     fn with_authority(&self, change: impl FnOnce(&mut Authority)) {
@@ -155,7 +139,9 @@
         self.node.metrics.count_order(self.service, outcome);
         match &result {
             Ok(()) => self.with_authority(Authority::clear_orders),
-            Err(Error::NoAnswer) => self.with_authority(Authority::mark_unanswered),
+            Err(Error::NoAnswer) => {
+                self.with_authority(|authority| authority.mark_unanswered(clock::now()));
+            }
             Err(Error::Conflict | Error::Rejected(_)) => {
                 self.node.leases.borrow_mut().remove(self.service);
             }
--- a/chervildrift/src/relay/replicas.rs
+++ b/chervildrift/src/relay/replicas.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{Access, FenceState, Session};
+use chervildrift_core::relay::{Access, FenceState, Session, fence_timeout};
 use chervildrift_core::types::{LogPosition, Role, Service, Term, Upstream};
 use chervildrift_platform::wire::{Command, parse_status};
 use futures::future::{FutureExt as _, LocalBoxFuture};
@@ -64,12 +64,13 @@
 ) -> Option<FenceState> {
     let state = query_state(node, upstream, Command::Status).await?;
     let fenced = state.fence > Term::default();
+    let timeout = fence_timeout(node.sync_replicas(service));
     let fence = node.with_group(service, |group| {
         group.record_received(upstream, state.received);
         if state.role == Some(Role::Primary) {
             group.record_term(state.term);
         }
-        group.record_fence(clock::now(), upstream, fenced)
+        group.record_fence(clock::now(), upstream, fenced, timeout)
     });
     node.replica_advanced.notify_waiters();
     match fence {
--- a/chervildrift/src/relay/selection.rs
+++ b/chervildrift/src/relay/selection.rs
@@ -9,10 +9,12 @@
 use chervildrift_platform::wire::Command;
 use futures::future::join_all;
 use slog::{info, warn};
+use smallvec::SmallVec;
 use tokio::time::sleep;
 
 use super::clock;
 use super::node::Node;
+use super::orders::{Threat, replacements};
 use super::replicas::{UpstreamState, query_state, unfence};
 
 /// Time to wait for an unresponsive replica that has received more than all others; a restored
@@ -66,7 +68,7 @@
             leader,
             planned,
             started: clock::now(),
-            pending_target: None,
+            pending_target: guarded_targets(node, service).into_iter().next(),
             fenced_replicas: Vec::new(),
         }
     }
@@ -91,7 +93,9 @@
             "service" => %self.service, "upstream" => %chosen.upstream,
             "fenced" => fenced_states.len(),
             "needed" => survey.quorum_size, "complete" => fenced.is_complete());
-        self.pending_target = None;
+        if guarded_targets(self.node, self.service).is_empty() {
+            self.pending_target = None;
+        }
         self.lift_fences().await;
         None
     }
@@ -99,9 +103,7 @@
     /// Queries the states of all replicas; `None` if none replies or one of them already leads.
     async fn survey_replicas(&self) -> Option<ReplicaSurvey> {
         let known = self.replicas();
-        let rules = self.node.routes.borrow().rules(self.service);
-        let sync_replicas = rules.map_or(0, |rules| rules.sync_replicas);
-        let quorum_size = quorum(known.len(), sync_replicas);
+        let quorum_size = quorum(known.len(), self.node.sync_replicas(self.service));
         let required_position = self.required_position();
         let states = self.query_all(&known, Command::Status).await;
         info!(self.node.log, "replica positions compared"; "event" => "failover",
@@ -184,8 +186,38 @@
         self.pending_target.is_some()
     }
 
-    /// Lifts the fences of all replicas, after the promotion or after a round without one.
+    /// Fences the replicas that are not fenced yet, except the only target of outstanding orders, so
+    /// that no commit of the leader is acknowledged that a target lacks.
+    pub(super) async fn renew_fences(&mut self, threat: &Threat) {
+        let spared = match &*threat.targets {
+            [target] => Some(target),
+            _ => None,
+        };
+        let others: Vec<Upstream> = {
+            let directory = self.node.directory.borrow();
+            let replicas = directory.replicas(self.service, Some(&threat.leader));
+            let others = replicas.map(|it| &it.upstream);
+            others.filter(|it| Some(*it) != spared).cloned().collect()
+        };
+        let states = self.query_all(&others, Command::Status).await;
+        for (upstream, state) in states {
+            if state.fence > Term::default() {
+                continue;
+            }
+            let fence = Command::Fence(state.term.next());
+            let state = query_state(self.node, &upstream, fence).await;
+            info!(self.node.log, "replica fenced"; "event" => "fence", "service" => %self.service,
+                "upstream" => %upstream, "answered" => state.is_some());
+        }
+        self.fenced_replicas.extend(others);
+    }
+
+    /// Lifts the fences of all replicas, after the promotion or after a round without one, unless
+    /// they protect commits from an unanswered order.
     pub(super) async fn lift_fences(&mut self) {
+        if !guarded_targets(self.node, self.service).is_empty() {
+            return;
+        }
         self.fenced_replicas.sort();
         self.fenced_replicas.dedup();
         let fenced = std::mem::take(&mut self.fenced_replicas);
@@ -257,6 +289,16 @@
     }
 }
 
+/// Returns the upstreams that unanswered orders may still make leader, if replicas acknowledge the
+/// commits of the service.
+fn guarded_targets(node: &Node, service: &Service) -> SmallVec<[Upstream; 2]> {
+    if node.sync_replicas(service) == 0 {
+        return SmallVec::new();
+    }
+    let leader = node.with_group(service, |group| group.leader().cloned());
+    replacements(node, service, leader.as_ref())
+}
+
 /// Formats the positions, terms and fences of replicas for the log.
 fn format_states(states: &[ReplicaState]) -> String {
     let items = states.iter().map(|(upstream, state)| {
--- a/chervildrift_core/src/relay/election.rs
+++ b/chervildrift_core/src/relay/election.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
-use crate::types::{Upstream, Vm};
+use crate::types::{Time, Upstream, Vm};
 
 /// Age at which a vote expires; votes are renewed every second.
 const VOTE_TTL: Duration = Duration::from_millis(2_500);
@@ -18,6 +18,13 @@
 /// Time from the acquisition of a lease during which orders are issued under it.
 pub const ORDER_WINDOW: Duration = Duration::from_secs(2);
 
+/// Time that a promotion takes after the order was accepted, including the start of the new leader.
+pub const PROMOTION_DURATION: Duration = Duration::from_secs(4);
+
+/// Time after which an unanswered order is no longer carried out; the platform's documentation
+/// speaks of seconds.
+pub(super) const ORDER_TTL: Duration = Duration::from_secs(12);
+
 /// Time from an order until it is answered or abandoned and the upstream has started as leader.
 ///
 /// The platform's documentation gives some hundred milliseconds for the start.
@@ -65,6 +72,14 @@
 /// A token combines the number of the lease with that of the order, and stays exact in 53 bits.
 const TOKENS_PER_LEASE: u64 = 1 << 20;
 
+/// Order without an answer, which the platform may still carry out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+struct UnansweredOrder {
+    target: Upstream,
+    /// Time by which the target leads if the order is carried out at all.
+    expiry: Time,
+}
+
 /// The right to order promotions of a service under a lease, and the state of the orders.
 ///
 /// Each order has its own fencing token, so that an order that was left unanswered can't take
@@ -78,8 +93,8 @@
     lease_held: bool,
     /// Target of an order in progress.
     pending_target: Option<Upstream>,
-    /// Targets of unanswered orders, which may still take effect.
-    unanswered_targets: SmallVec<[Upstream; 2]>,
+    /// Latest unanswered order for each target.
+    unanswered_orders: SmallVec<[UnansweredOrder; 2]>,
 }
 
 impl Authority {
@@ -91,7 +106,7 @@
             issued_tokens: 0,
             lease_held: true,
             pending_target: None,
-            unanswered_targets: SmallVec::new(),
+            unanswered_orders: SmallVec::new(),
         }
     }
 
@@ -120,7 +135,7 @@
     /// The revoking orders carry lower fencing tokens than those of the other VM.
     pub fn mark_lost(&mut self) -> bool {
         self.lease_held = false;
-        self.pending_target.is_some() || !self.unanswered_targets.is_empty()
+        self.pending_target.is_some() || !self.unanswered_orders.is_empty()
     }
 
     /// Returns whether promotions may be ordered.
@@ -134,27 +149,49 @@
         self.pending_target = None;
     }
 
-    /// Ends an unanswered order, which may still take effect.
-    pub fn mark_unanswered(&mut self) {
-        if let Some(target) = self.pending_target.take()
-            && !self.unanswered_targets.contains(&target)
-        {
-            self.unanswered_targets.push(target);
-        }
+    /// Ends an order without an answer, which may still take effect.
+    pub fn mark_unanswered(&mut self, now: Time) {
+        let Some(target) = self.pending_target.take() else {
+            return;
+        };
+        self.unanswered_orders.retain(|it| it.target != target);
+        self.unanswered_orders.push(UnansweredOrder {
+            target,
+            expiry: now + ORDER_TTL + PROMOTION_DURATION,
+        });
     }
 
-    /// Ends all orders: one was accepted, which invalidates the earlier ones, or all are too old to
-    /// take effect.
+    /// Ends all orders, since one was accepted, which invalidates the earlier ones.
     pub fn clear_orders(&mut self) {
         self.pending_target = None;
-        self.unanswered_targets.clear();
+        self.unanswered_orders.clear();
+    }
+
+    /// Drops unanswered orders that are too old to take effect; returns whether there were any.
+    pub fn expire_orders(&mut self, now: Time) -> bool {
+        let count = self.unanswered_orders.len();
+        self.unanswered_orders.retain(|it| now < it.expiry);
+        self.unanswered_orders.len() < count
+    }
+
+    /// Returns the upstreams that an outstanding order may still make leader in place of this one.
+    #[must_use]
+    pub fn replacements(&self, leader: Option<&Upstream>) -> SmallVec<[Upstream; 2]> {
+        let unanswered = self.unanswered_orders.iter().map(|it| &it.target);
+        let mut targets: SmallVec<[Upstream; 2]> = unanswered
+            .chain(&self.pending_target)
+            .filter(|it| Some(*it) != leader)
+            .cloned()
+            .collect();
+        targets.sort_unstable();
+        targets.dedup();
+        targets
     }
 
     /// Returns whether an outstanding order may still replace this leader.
     #[must_use]
     pub fn may_replace(&self, leader: &Upstream) -> bool {
-        let mut targets = self.unanswered_targets.iter().chain(&self.pending_target);
-        targets.any(|it| it != leader)
+        !self.replacements(Some(leader)).is_empty()
     }
 }
 
--- a/chervildrift_core/src/relay/group.rs
+++ b/chervildrift_core/src/relay/group.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use super::election::{ORDER_TTL, PROMOTION_DURATION};
 use crate::types::{LogPosition, Term, Time, Upstream};
 
 /// Minimum interval between retained samples.
@@ -36,6 +37,12 @@
 /// starts within 3 s of an order.
 const FENCE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Time after which a fence is lifted where replicas acknowledge commits: there it also stays while
+/// an unanswered order may take effect.
+const SYNC_FENCE_TIMEOUT: Duration = FENCE_TIMEOUT
+    .saturating_add(ORDER_TTL)
+    .saturating_add(PROMOTION_DURATION);
+
 /// Maximum interval between two observations of one fence; after a longer one, the fence may have
 /// been lifted and set again.
 const MAX_FENCE_GAP: Duration = Duration::from_millis(2_500);
@@ -97,6 +104,16 @@
     Expired,
 }
 
+/// Returns the time after which a fence is lifted if the promotion that it was set for has not come.
+#[must_use]
+pub const fn fence_timeout(sync_replicas: usize) -> Duration {
+    if sync_replicas > 0 {
+        SYNC_FENCE_TIMEOUT
+    } else {
+        FENCE_TIMEOUT
+    }
+}
+
 /// Minimum log position that a read requires.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum MinPosition {
@@ -381,11 +398,18 @@
         self.newest_term = self.newest_term.max(term);
     }
 
-    /// Records whether a replica is fenced, and returns the state of the fence.
+    /// Records whether a replica is fenced, and returns the state of the fence, which expires after
+    /// `timeout`.
     ///
     /// A fence that was not observed for a while may have been lifted and set again in the
     /// meantime.
-    pub fn record_fence(&mut self, now: Time, upstream: &Upstream, fenced: bool) -> FenceState {
+    pub fn record_fence(
+        &mut self,
+        now: Time,
+        upstream: &Upstream,
+        fenced: bool,
+        timeout: Duration,
+    ) -> FenceState {
         let known = self.fences.iter_mut().find(|it| it.upstream == *upstream);
         match known {
             _ if !fenced => {
@@ -394,7 +418,7 @@
             }
             Some(fence) if now.since(fence.last_seen) < MAX_FENCE_GAP => {
                 fence.last_seen = now;
-                if now.since(fence.since) >= FENCE_TIMEOUT {
+                if now.since(fence.since) >= timeout {
                     FenceState::Expired
                 } else {
                     FenceState::PromotionPending
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -28,9 +28,12 @@
 pub use self::code::Code;
 pub use self::directory::{Directory, DirectoryEntry};
 pub use self::election::{
-    Authority, ElectionAction, ElectionState, Lease, ORDER_WINDOW, Vote, decide_election,
+    Authority, ElectionAction, ElectionState, Lease, ORDER_WINDOW, PROMOTION_DURATION, Vote,
+    decide_election,
+};
+pub use self::group::{
+    FenceState, Group, MinPosition, ReplicationState, SessionCommit, fence_timeout,
 };
-pub use self::group::{FenceState, Group, MinPosition, ReplicationState, SessionCommit};
 pub use self::holders::{HolderPlan, HolderSet};
 pub use self::leader_selection::{FencedLogs, Replica, SelectionError, quorum, select_leader};
 pub use self::membership::{PRESENCE_TTL, Presence, running_peers};
--- a/chervildrift_core/tests/relay_elections.rs
+++ b/chervildrift_core/tests/relay_elections.rs
@@ -6,7 +6,7 @@
 use chervildrift_core::relay::{
     Authority, ElectionAction, ElectionState, Lease, Vote, decide_election,
 };
-use chervildrift_core::types::{Upstream, Vm};
+use chervildrift_core::types::{Time, Upstream, Vm};
 use proptest::prelude::*;
 
 const LONG_WAIT: Duration = Duration::from_secs(60);
@@ -193,9 +193,9 @@
     let mut authority = Authority::new(1);
     assert!(!authority.may_replace(&leader));
     assert!(authority.begin_order(&target).is_some());
-    authority.mark_unanswered();
+    authority.mark_unanswered(Time(0));
     assert!(authority.begin_order(&leader).is_some());
-    authority.mark_unanswered();
+    authority.mark_unanswered(Time(0));
     authority.renew(2);
     assert!(authority.may_replace(&leader));
     authority.clear_orders();
@@ -217,8 +217,27 @@
     assert!(authority.may_promote());
     assert!(authority.begin_order(&target).is_some());
     assert!(authority.mark_lost(), "an order is in progress");
-    authority.mark_unanswered();
+    authority.mark_unanswered(Time(0));
     assert!(authority.mark_lost());
     assert!(!authority.may_promote());
     assert!(authority.may_replace(&leader));
 }
+
+/// Guards against orders that count as harmless while they may still take effect, and against
+/// protection from them that never ends.
+#[test]
+fn order_expiry() {
+    let (leader, target) = (Upstream::from("a"), Upstream::from("b"));
+    let mut authority = Authority::new(1);
+    for sent_at in [0, 2_000_000] {
+        assert!(authority.begin_order(&target).is_some());
+        authority.mark_unanswered(Time(sent_at));
+    }
+    // An order may be carried out for 12 s, and a promotion takes up to 4 s.
+    assert!(!authority.expire_orders(Time(17_900_000)));
+    let replacements = authority.replacements(Some(&leader));
+    assert_eq!(replacements.as_slice(), std::slice::from_ref(&target));
+    assert!(authority.replacements(Some(&target)).is_empty());
+    assert!(authority.expire_orders(Time(18_000_000)));
+    assert!(!authority.may_replace(&leader));
+}
--- a/chervildrift_core/tests/relay_freshness.rs
+++ b/chervildrift_core/tests/relay_freshness.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervildrift_core::relay::{FenceState, Group, MinPosition, ReplicationState};
+use chervildrift_core::relay::{FenceState, Group, MinPosition, ReplicationState, fence_timeout};
 use chervildrift_core::types::{LogPosition, Term, Time, Upstream};
 
 const BOUND: Duration = Duration::from_millis(1_500);
@@ -193,22 +193,42 @@
 fn expired_fence() {
     let (mut group, _) = group_with_leader();
     let replica = Upstream::from("b");
-    assert_eq!(group.record_fence(at(0), &replica, true), FenceState::New);
+    assert_eq!(
+        group.record_fence(at(0), &replica, true, fence_timeout(0)),
+        FenceState::New
+    );
     for ms in (1_000..7_000).step_by(1_000).chain([7_900]) {
-        let state = group.record_fence(at(ms), &replica, true);
+        let state = group.record_fence(at(ms), &replica, true, fence_timeout(0));
         assert_eq!(state, FenceState::PromotionPending);
     }
-    let state = group.record_fence(at(8_000), &replica, true);
+    let state = group.record_fence(at(8_000), &replica, true, fence_timeout(0));
     assert_eq!(state, FenceState::Expired);
-    let state = group.record_fence(at(8_100), &replica, false);
+    let state = group.record_fence(at(8_100), &replica, false, fence_timeout(0));
     assert_eq!(state, FenceState::Unfenced);
     assert_eq!(
-        group.record_fence(at(8_200), &replica, true),
+        group.record_fence(at(8_200), &replica, true, fence_timeout(0)),
         FenceState::New
     );
     // Without an observation for 8 s, the fence may have been lifted and set again.
-    let state = group.record_fence(at(16_300), &replica, true);
+    let state = group.record_fence(at(16_300), &replica, true, fence_timeout(0));
+    assert_eq!(state, FenceState::New);
+}
+
+/// Guards against lifting a fence while an unanswered order may still take effect, where replicas
+/// acknowledge commits.
+#[test]
+fn synchronous_fence() {
+    let (mut group, _) = group_with_leader();
+    let replica = Upstream::from("b");
+    let timeout = fence_timeout(1);
+    let state = group.record_fence(at(0), &replica, true, timeout);
     assert_eq!(state, FenceState::New);
+    for ms in (1_000..24_000).step_by(1_000) {
+        let state = group.record_fence(at(ms), &replica, true, timeout);
+        assert_eq!(state, FenceState::PromotionPending);
+    }
+    let state = group.record_fence(at(24_000), &replica, true, timeout);
+    assert_eq!(state, FenceState::Expired);
 }
 
 /// Guards against a late refusal that an upstream sent before it became leader.
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -415,15 +415,18 @@
             writes,
         };
         let lag = state.apply_lag;
+        let mut log = std::mem::take(&mut state.members[member].log);
+        log.push(entry);
         let mut received = 0;
         for (index, it) in state.members.iter_mut().enumerate() {
-            let reachable = it.fault == Fault::None && it.fence == 0;
-            if index == member || reachable && it.log.len() as u64 + 1 == number {
-                it.log.push(entry.clone());
-                received += usize::from(index != member);
+            if index != member && it.fault == Fault::None && it.fence == 0 {
+                // A replica that was fenced or cut off catches up.
+                it.log.extend_from_slice(&log[it.log.len()..]);
+                received += 1;
             }
         }
-        state.members[member].applied = state.members[member].log.len();
+        state.members[member].applied = log.len();
+        state.members[member].log = log;
         // A commit that fewer than `sync_replicas` replicas received is never acknowledged.
         let lost = state.lost_answers > 0 || received < self.sync_replicas;
         state.lost_answers = state.lost_answers.saturating_sub(1);
