Protect successors by fences from orders that revoke

On a service without synchronous replicas, commits that a replica had confirmed were lost when the platform carried out all orders late: the same cause as with synchronous replicas. An order that names the old leader replaces a successor whose last commits it lacks. There, orders are still revoked, since a VM acknowledges unconfirmed commits after confirm_ms and fences alone can't protect those.

Change: while an unanswered order threatens the leader, the VM keeps all replicas but its target fenced there too, so that confirmations come from the target. If the leader is a successor, the fences stay for the duration of a promotion after a revoking order was accepted, since the promotion of the old leader may be under way.

--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -9,8 +9,8 @@
 use chervildrift_core::types::{Service, Time, Upstream, Vm};
 use chervildrift_platform::promotion::Error as OrderError;
 use chervildrift_platform::store::{Error, Listing, Transaction};
+use futures::future::join;
 use slog::{info, warn};
-use smallvec::SmallVec;
 use tokio::time::{sleep, timeout};
 
 use super::clock;
@@ -208,27 +208,54 @@
 
     /// Protects a leader that works from outstanding orders until none may take effect any more.
     ///
-    /// Where replicas acknowledge commits, fences keep those from being acknowledged that the target
-    /// of such an order lacks. Elsewhere fences can't prevent loss, and the orders are revoked.
+    /// Fences keep commits from being acknowledged that the target of such an order lacks. Services
+    /// without synchronous replicas have the orders revoked as well. Once a late order has made a
+    /// successor leader, the revoking orders threaten that one.
     async fn settle_orders(&mut self) {
-        let fenceable = self.node.sync_replicas(self.service) > 0;
-        let mut last_targets = SmallVec::new();
+        let revocable = self.node.sync_replicas(self.service) == 0;
+        let mut last_threat: Option<Threat> = None;
         while let Some(threat) = self.current_threat() {
-            if threat.targets != last_targets {
+            if last_threat.as_ref() != Some(&threat) {
                 info!(self.node.log, "order may replace leader"; "event" => "failover",
                     "service" => %self.service, "leader" => %threat.leader,
                     "targets" => ?threat.targets);
             }
-            if fenceable {
-                self.selection.renew_fences(&threat).await;
+            let fences = self.selection.renew_fences(&threat);
+            if revocable {
+                join(fences, self.orders.revoke(&threat.leader)).await;
             } else {
-                self.orders.revoke(&threat.leader).await;
+                fences.await;
             }
-            last_targets = threat.targets;
+            last_threat = Some(threat);
             if self.current_threat().is_some() {
                 sleep(ORDER_RETRY_DELAY).await;
             }
         }
+        if let Some(threat) = last_threat.filter(|it| revocable && self.is_successor(&it.leader)) {
+            self.await_promotion(&threat).await;
+        }
+    }
+
+    /// Keeps the fences for the duration of a promotion while a leader works, since an order that was
+    /// accepted before its revocation may still replace it.
+    async fn await_promotion(&mut self, threat: &Threat) {
+        let deadline = clock::now() + PROMOTION_DURATION;
+        while clock::now() < deadline && self.is_trusted(&threat.leader) {
+            self.selection.renew_fences(threat).await;
+            sleep(ORDER_RETRY_DELAY).await;
+        }
+    }
+
+    /// Returns whether an upstream is not the leader for which this failover was started.
+    fn is_successor(&self, leader: &Upstream) -> bool {
+        self.leader != Some(leader)
+    }
+
+    fn is_trusted(&self, leader: &Upstream) -> bool {
+        let now = clock::now();
+        self.node.with_group(self.service, |group| {
+            group.trusted_leader(now) == Some(leader)
+        })
     }
 
     /// Returns the threat to the current leader, unless that leaves and has to be replaced anyway.
--- a/chervildrift/src/relay/orders.rs
+++ b/chervildrift/src/relay/orders.rs
@@ -29,7 +29,7 @@
 }
 
 /// Leader that works but may be replaced by an outstanding order.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub(super) struct Threat {
     /// Current leader.
     pub leader: Upstream,
--- a/chervildrift/tests/relay_orders.rs
+++ b/chervildrift/tests/relay_orders.rs
@@ -11,6 +11,9 @@
 /// Time after which the platform carries out an order.
 const ORDER_DELAY: Duration = Duration::from_secs(3);
 
+/// Delay with which the old primary receives the commits of its successor, below `confirm_ms`.
+const RECEIVE_DELAY: Duration = Duration::from_millis(100);
+
 /// Time for which callers write; it covers all orders that were sent during the failover.
 const WRITE_TIME: Duration = Duration::from_secs(10);
 
@@ -79,16 +82,19 @@
     assert!(lost.is_empty(), "{} lost: {lost:?}", lost.len());
 }
 
-/// Writes while late orders are carried out, with an old primary that receives no commits of its
-/// successor; returns the acknowledged items and the primaries one after another.
-async fn write_through_changes(fleet: &Fleet) -> (Vec<String>, Vec<usize>) {
+/// Writes while late orders are carried out and calls `disturb` once the primary has changed; returns
+/// the acknowledged items and the primaries one after another.
+async fn write_through_changes(
+    fleet: &Fleet,
+    disturb: impl Fn(&DatabaseGroup),
+) -> (Vec<String>, Vec<usize>) {
     let databases = &fleet.platform.databases;
     let mut leaders = vec![0];
     let acknowledged = write_items(&fleet.vms[0], || {
         let leader = databases.primary().filter(|it| leaders.last() != Some(it));
         if let Some(leader) = leader {
             leaders.push(leader);
-            databases.set_replication_cut(0, true);
+            disturb(databases);
         }
     })
     .await;
@@ -100,12 +106,29 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn late_revocations() {
     let (fleet, target) = order_replacement(1).await;
-    let (acknowledged, leaders) = write_through_changes(&fleet).await;
+    let (acknowledged, leaders) = write_through_changes(&fleet, |databases| {
+        // The old primary receives no commits of its successor.
+        databases.set_replication_cut(0, true);
+    })
+    .await;
     assert_kept(&fleet, &acknowledged);
     assert_eq!(leaders, [0, target]);
     assert!(fleet.platform.databases.fenced_members().is_empty());
 }
 
+/// Guards against the same loss where the service waits for no replica: a late order that names the
+/// old primary rolls back commits that the VM has confirmed by another replica.
+#[tokio::test(flavor = "multi_thread")]
+async fn asynchronous_revocations() {
+    let (fleet, _) = order_replacement(0).await;
+    let (acknowledged, leaders) = write_through_changes(&fleet, |databases| {
+        databases.set_receive_delay(0, RECEIVE_DELAY);
+    })
+    .await;
+    assert!(leaders.len() > 1, "{leaders:?}");
+    assert_kept(&fleet, &acknowledged);
+}
+
 /// Guards against the loss of commits that other replicas acknowledge while a late order may still
 /// promote one that has stopped receiving.
 #[tokio::test(flavor = "multi_thread")]
--- a/chervildrift_standin/src/deployment/database.rs
+++ b/chervildrift_standin/src/deployment/database.rs
@@ -59,11 +59,26 @@
     fault: Fault,
     /// Term below which the database accepts no commits; 0 means that it is not fenced.
     fence: u64,
+    /// Delay after which the database receives a commit of the primary.
+    receive_delay: Duration,
     log: Vec<LogEntry>,
     applied: usize,
     open_connections: usize,
 }
 
+impl Member {
+    /// Receives the part of the primary's log that is missing; returns false if the database is
+    /// fenced or cut off.
+    fn receive(&mut self, log: &[LogEntry]) -> bool {
+        if self.fault != Fault::None || self.fence > 0 {
+            return false;
+        }
+        let missing = log.get(self.log.len()..).unwrap_or_default();
+        self.log.extend_from_slice(missing);
+        true
+    }
+}
+
 #[derive(Debug)]
 struct State {
     members: Vec<Member>,
@@ -106,6 +121,7 @@
             draining: false,
             fault: Fault::None,
             fence: 0,
+            receive_delay: Duration::ZERO,
             log: Vec::new(),
             applied: 0,
             open_connections: 0,
@@ -167,6 +183,11 @@
         self.lock().members[member].fault = Fault::ReplicationCut.if_enabled(cut);
     }
 
+    /// Sets the delay after which a replica receives a commit.
+    pub fn set_receive_delay(&self, member: usize, delay: Duration) {
+        self.lock().members[member].receive_delay = delay;
+    }
+
     /// Returns the number of commits that each database has received.
     pub fn log_lengths(&self) -> Vec<usize> {
         self.lock().members.iter().map(|it| it.log.len()).collect()
@@ -418,10 +439,14 @@
         let mut log = std::mem::take(&mut state.members[member].log);
         log.push(entry);
         let mut received = 0;
+        let mut delays = Vec::new();
         for (index, it) in state.members.iter_mut().enumerate() {
-            if index != member && it.fault == Fault::None && it.fence == 0 {
-                // A replica that was fenced or cut off catches up.
-                it.log.extend_from_slice(&log[it.log.len()..]);
+            if index == member {
+                continue;
+            }
+            if !it.receive_delay.is_zero() {
+                delays.push((index, it.receive_delay));
+            } else if it.receive(&log) {
                 received += 1;
             }
         }
@@ -431,6 +456,15 @@
         let lost = state.lost_answers > 0 || received < self.sync_replicas;
         state.lost_answers = state.lost_answers.saturating_sub(1);
         drop(state);
+        for (replica, delay) in delays {
+            let database = Arc::clone(self);
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                database.replicate(replica, term, number as usize);
+                tokio::time::sleep(lag).await;
+                database.apply(number);
+            });
+        }
         let database = Arc::clone(self);
         tokio::spawn(async move {
             tokio::time::sleep(lag).await;
@@ -439,6 +473,18 @@
         Some(lost)
     }
 
+    /// Delivers the first `count` commits of the primary of a term to a replica.
+    fn replicate(&self, replica: usize, term: u64, count: usize) {
+        let mut state = self.lock();
+        let primary = state.members.iter().find(|it| it.primary);
+        let log = primary.map(|it| it.log[..count.min(it.log.len())].to_vec());
+        if state.term == term
+            && let Some(log) = log
+        {
+            state.members[replica].receive(&log);
+        }
+    }
+
     fn apply(&self, number: u64) {
         for member in &mut self.lock().members {
             let received = member.log.len().min(number as usize);
