--- a/chervildrift/src/relay/failover.rs
+++ b/chervildrift/src/relay/failover.rs
@@ -218,7 +218,7 @@
             if last_threat.as_ref() != Some(&threat) {
                 info!(self.node.log, "order may replace leader"; "event" => "failover",
                     "service" => %self.service, "leader" => %threat.leader,
-                    "targets" => ?threat.targets);
+                    "targets" => threat.target_names());
             }
             let fences = self.selection.renew_fences(&threat);
             if revocable {
@@ -258,7 +258,7 @@
         })
     }
 
-    /// Returns the threat to the current leader, unless that leaves and has to be replaced anyway.
+    /// Returns the threat to the current leader, unless that is leaving and has to be replaced anyway.
     fn current_threat(&self) -> Option<Threat> {
         let now = clock::now();
         let threat = find_threat(self.node, self.service)?;
--- a/chervildrift/src/relay/orders.rs
+++ b/chervildrift/src/relay/orders.rs
@@ -37,6 +37,14 @@
     pub targets: SmallVec<[Upstream; 2]>,
 }
 
+impl Threat {
+    /// Returns the names of the targets for the log.
+    pub(super) fn target_names(&self) -> String {
+        let names: Vec<&str> = self.targets.iter().map(Upstream::as_str).collect();
+        names.join(" ")
+    }
+}
+
 /// Returns the threat to the leader of a service from outstanding orders of this VM, if the VM can
 /// do anything about it.
 pub(super) fn find_threat(node: &Node, service: &Service) -> Option<Threat> {
--- a/chervildrift/src/relay/selection.rs
+++ b/chervildrift/src/relay/selection.rs
@@ -209,7 +209,11 @@
             info!(self.node.log, "replica fenced"; "event" => "fence", "service" => %self.service,
                 "upstream" => %upstream, "answered" => state.is_some());
         }
-        self.fenced_replicas.extend(others);
+        for upstream in others {
+            if !self.fenced_replicas.contains(&upstream) {
+                self.fenced_replicas.push(upstream);
+            }
+        }
     }
 
     /// Lifts the fences of all replicas, after the promotion or after a round without one, unless
