--- a/chervildrift/tests/relay_orders.rs
+++ b/chervildrift/tests/relay_orders.rs
@@ -116,8 +116,8 @@
     assert!(fleet.platform.databases.fenced_members().is_empty());
 }
 
-/// Guards against the same loss where the service waits for no replica: a late order that names the
-/// old primary rolls back commits that the VM has confirmed by another replica.
+/// Guards against late orders that name the old primary and roll back commits which the VM has
+/// confirmed by a replica, on a service that waits for no replica itself.
 #[tokio::test(flavor = "multi_thread")]
 async fn asynchronous_revocations() {
     let (fleet, _) = order_replacement(0).await;
