Tell where a configuration came from and how old its source is

'configuration applied' names its source, 'store unavailable' how long the failed call took, 'store available again' how long the table was silent, and the gauge source_age_ms how old each table and the observer's view are. The gauges have a struct of their own, as Metrics::new had grown too long. No decision changes.

--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -15,7 +15,7 @@
 
 use crate::relay::clock;
 use crate::relay::fleet::outliers;
-use crate::relay::node::Node;
+use crate::relay::node::{Node, RouteSource};
 
 /// Delay after the first failed call; doubles with each failure up to [`MAX_RETRY_DELAY`].
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -53,6 +53,7 @@
             sleep(pause).await;
             continue;
         }
+        let sent_at = clock::now();
         match fetch_changes(&node, table, &mut feed_version, &on_listing, &on_change).await {
             Ok(()) => {
                 node.metrics
@@ -60,8 +61,10 @@
                     .with_label_values(&[table, "done"])
                     .inc();
                 node.record_store_call(true);
+                let silence = node.record_table_read(table);
                 if failures > 0 {
-                    info!(node.log, "store available again"; "event" => "store", "table" => table);
+                    info!(node.log, "store available again"; "event" => "store", "table" => table,
+                        "silent_ms" => silence.map(|it| it.as_millis() as u64));
                 }
                 failures = 0;
             }
@@ -73,7 +76,8 @@
                 node.record_store_call(false);
                 if failures == 0 {
                     warn!(node.log, "store unavailable"; "event" => "store", "table" => table,
-                        "error" => %err);
+                        "error" => %err,
+                        "waited_ms" => clock::now().since(sent_at).as_millis() as u64);
                 }
                 sleep((MIN_RETRY_DELAY * (1 << failures.min(3))).min(MAX_RETRY_DELAY)).await;
                 failures += 1;
@@ -120,18 +124,21 @@
 
 /// Follows the operator's configuration.
 pub(in crate::relay) async fn follow_routes(node: Rc<Node>) {
-    let on_listing =
-        |node: &Node, rows: Vec<Row>| rows.into_iter().for_each(|row| apply_config(node, &row));
-    let on_change = |node: &Node, row: Row| apply_config(node, &row);
+    let on_listing = |node: &Node, rows: Vec<Row>| {
+        for row in rows {
+            apply_config(node, &row, RouteSource::Listing);
+        }
+    };
+    let on_change = |node: &Node, row: Row| apply_config(node, &row, RouteSource::Feed);
     follow_table(node, CONFIG_TABLE, on_listing, on_change).await;
 }
 
-fn apply_config(node: &Node, row: &Row) {
+fn apply_config(node: &Node, row: &Row, source: RouteSource) {
     let Some(value) = row.value.as_deref().filter(|_| row.key == CONFIG_KEY) else {
         return;
     };
     match decode_routes(value) {
-        Ok(routes) => node.apply_routes(routes),
+        Ok(routes) => node.apply_routes(routes, source),
         Err(err) => {
             warn!(node.log, "invalid configuration"; "event" => "routes",
                 "row" => row.version, "error" => %err);
--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -21,7 +21,7 @@
 use crate::relay::clock;
 use crate::relay::fleet::link::{LinkRequest, LinkResponse};
 use crate::relay::fleet::{outliers, presence};
-use crate::relay::node::Node;
+use crate::relay::node::{Node, RouteSource};
 use crate::relay::quotas;
 use crate::relay::stop::StopPhase;
 
@@ -213,7 +213,7 @@
         };
         let view = request_view(&node, *address, own_parts(&node), VIEW_TIMEOUT).await;
         if let Some(routes) = view.and_then(|it| it.routes) {
-            node.apply_routes(routes);
+            node.apply_routes(routes, RouteSource::Peer);
         }
     }
 }
@@ -252,7 +252,7 @@
             "upstreams" => view.entries.as_ref().map(Vec::len));
     }
     if let Some(routes) = view.routes {
-        node.apply_routes(routes);
+        node.apply_routes(routes, RouteSource::Peer);
     }
     if let Some(entries) = view.entries {
         node.apply_listing(entries);
@@ -321,7 +321,7 @@
 /// Applies the view of an observer, requested at `sent_at`.
 fn apply_view(node: &Node, view: CachedView, sent_at: Time) {
     if let Some(routes) = view.routes {
-        node.apply_routes(routes);
+        node.apply_routes(routes, RouteSource::Peer);
     }
     if let Some(entries) = view.entries {
         node.apply_listing(entries);
--- a/chervildrift/src/relay/metrics.rs
+++ b/chervildrift/src/relay/metrics.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::Code;
-use chervildrift_core::types::{Kind, Rank, Service, Upstream};
+use chervildrift_core::types::{Kind, Rank, Service, Time, Upstream};
 use derive_more::Display;
 use prometheus::core::Collector;
 use prometheus::{
@@ -66,6 +66,12 @@
     quota_grants: IntCounterVec,
     quota_shares: IntGauge,
     closed_callers: IntCounterVec,
+    gauges: Gauges,
+}
+
+/// Gauges that follow the state of the VM.
+#[derive(Clone, Debug)]
+struct Gauges {
     version: IntGauge,
     sessions: IntGauge,
     vms: IntGauge,
@@ -74,6 +80,8 @@
     waits: IntGaugeVec,
     resting: IntGaugeVec,
     sample_age: IntGaugeVec,
+    /// Ages of what this VM was last told of the configuration and the upstreams, by source.
+    source_age: IntGaugeVec,
 }
 
 /// Creates metrics and registers them.
@@ -123,6 +131,36 @@
     }
 }
 
+impl Gauges {
+    fn register(registrar: &Registrar<'_>) -> Result<Self, prometheus::Error> {
+        Ok(Self {
+            version: registrar.gauge(
+                "configuration_version",
+                "Version of the configuration in force",
+            )?,
+            sessions: registrar.gauge("sessions", "Open sessions")?,
+            vms: registrar.gauge("vms", "VMs that share the connections")?,
+            waits: registrar.gauges(
+                "upstream_wait_ms",
+                "Estimated wait of a statement without urgency",
+                &["upstream"],
+            )?,
+            resting: registrar.gauges("resting", "Lent and idle", &["upstream"])?,
+            connections: registrar.gauges("links", "Open connections", &["upstream"])?,
+            sample_age: registrar.gauges(
+                "sample_age_ms",
+                "Age of the newest sample",
+                &["service"],
+            )?,
+            source_age: registrar.gauges(
+                "source_age_ms",
+                "Age of tables and views",
+                &["source"],
+            )?,
+        })
+    }
+}
+
 impl Metrics {
     /// Registers the metrics in a new registry.
     pub(in crate::relay) fn new() -> Result<Self, prometheus::Error> {
@@ -204,24 +242,7 @@
                 "Callers' connections closed for a limit",
                 &["cause"],
             )?,
-            version: registrar.gauge(
-                "configuration_version",
-                "Version of the configuration in force",
-            )?,
-            sessions: registrar.gauge("sessions", "Open sessions")?,
-            vms: registrar.gauge("vms", "VMs that share the connections")?,
-            waits: registrar.gauges(
-                "upstream_wait_ms",
-                "Estimated wait of a statement without urgency",
-                &["upstream"],
-            )?,
-            resting: registrar.gauges("resting", "Lent and idle", &["upstream"])?,
-            connections: registrar.gauges("links", "Open connections", &["upstream"])?,
-            sample_age: registrar.gauges(
-                "sample_age_ms",
-                "Age of the newest sample",
-                &["service"],
-            )?,
+            gauges: Gauges::register(&registrar)?,
             registry,
         })
     }
@@ -303,35 +324,65 @@
     pub(in crate::relay) fn update_gauges(&self, node: &Node) {
         let to_i64 = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
         let version = node.routes.borrow().version();
-        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.sessions.set(to_i64(node.session_count.get()));
-        self.vms.set(to_i64(node.vm_count.get()));
+        self.gauges
+            .version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.gauges.sessions.set(to_i64(node.session_count.get()));
+        self.gauges.vms.set(to_i64(node.vm_count.get()));
         for (upstream, pool) in &*node.pools.borrow() {
-            let connections = self.connections.with_label_values(&[upstream.as_str()]);
+            let connections = self
+                .gauges
+                .connections
+                .with_label_values(&[upstream.as_str()]);
             connections.set(to_i64(pool.open_connections()));
-            let wait = self.waits.with_label_values(&[upstream.as_str()]);
+            let wait = self.gauges.waits.with_label_values(&[upstream.as_str()]);
             wait.set(to_i64(pool.own_wait(Rank::Bulk).as_millis() as usize));
-            let resting = self.resting.with_label_values(&[upstream.as_str()]);
+            let resting = self.gauges.resting.with_label_values(&[upstream.as_str()]);
             resting.set(to_i64(pool.resting()));
         }
         let now = clock::now();
         for (service, group) in &*node.groups.borrow() {
-            let gauge = self.sample_age.with_label_values(&[service.as_str()]);
+            let gauge = self
+                .gauges
+                .sample_age
+                .with_label_values(&[service.as_str()]);
             let age = group.sample_age(now).map(|age| age.as_millis());
             gauge.set(age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1));
         }
+        self.update_source_ages(node);
+    }
+
+    /// Updates the ages of the sources; -1 stands for one that this VM doesn't follow now.
+    fn update_source_ages(&self, node: &Node) {
+        let now = clock::now();
+        let set_age = |source: &str, at: Option<Time>| {
+            let age = at.map(|at| now.since(at).as_millis());
+            let age = age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1);
+            self.gauges.source_age.with_label_values(&[source]).set(age);
+        };
+        let follows = node.follows_store();
+        for (table, at) in &*node.table_reads.borrow() {
+            set_age(table, follows.then_some(*at));
+        }
+        set_age("view", node.view_at.get());
     }
 
     /// Removes the gauge of an upstream that is gone.
     pub(in crate::relay) fn remove_upstream(&self, upstream: &Upstream) {
         // The gauge does not exist if no connection was ever counted.
-        let _unknown = self.connections.remove_label_values(&[upstream.as_str()]);
+        let _unknown = self
+            .gauges
+            .connections
+            .remove_label_values(&[upstream.as_str()]);
         for source in ["own", "peer"] {
             let labels = [upstream.as_str(), source];
             let _unknown = self.ejections.remove_label_values(&labels);
         }
-        let _unknown = self.resting.remove_label_values(&[upstream.as_str()]);
-        let _unknown = self.waits.remove_label_values(&[upstream.as_str()]);
+        let _unknown = self
+            .gauges
+            .resting
+            .remove_label_values(&[upstream.as_str()]);
+        let _unknown = self.gauges.waits.remove_label_values(&[upstream.as_str()]);
     }
 
     /// Counts an ejection of an upstream by this VM's own outcomes or by another VM's.
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -15,7 +15,9 @@
 use chervildrift_core::types::{LogPosition, Service, Time, Upstream, Vm, Zone};
 use chervildrift_platform::promotion::PromotionClient;
 use chervildrift_platform::store::Store;
+use derive_more::Display;
 use slog::{Logger, info};
+use smallvec::SmallVec;
 use tokio::sync::{Mutex, Notify, Semaphore, watch};
 use tokio::time::timeout;
 
@@ -47,6 +49,20 @@
 /// Connection limit of an upstream if the configuration sets none.
 const DEFAULT_CONNECTION_LIMIT: usize = 8;
 
+/// Where a version of the routes came from.
+#[derive(Clone, Copy, Debug, Display)]
+pub(in crate::relay) enum RouteSource {
+    /// A listing of the store's table.
+    #[display("listing")]
+    Listing,
+    /// A change of the store's table.
+    #[display("feed")]
+    Feed,
+    /// The view of another VM.
+    #[display("peer")]
+    Peer,
+}
+
 /// State of the VM.
 #[derive(Debug)]
 pub(in crate::relay) struct Node {
@@ -93,6 +109,8 @@
     pub polled_replicas: RefCell<HashSet<Upstream>>,
     /// Time of the first failed call to the store, while it is unavailable.
     pub outage_start: Cell<Option<Time>>,
+    /// Time at which the store last answered a call that follows a table, by table.
+    pub table_reads: RefCell<SmallVec<[(&'static str, Time); 2]>>,
     /// Leases under which this VM may order promotions, by service.
     pub leases: RefCell<HashMap<Service, Authority>>,
     /// Number of open sessions of callers.
@@ -118,14 +136,14 @@
 
 impl Node {
     /// Applies a version of the routes unless it is outdated.
-    pub(in crate::relay) fn apply_routes(&self, routes: Routes) {
+    pub(in crate::relay) fn apply_routes(&self, routes: Routes, source: RouteSource) {
         let version = routes.version;
         let count = routes.routes.len();
         if !self.routes.borrow_mut().apply(routes) {
             return;
         }
         info!(self.log, "configuration applied"; "event" => "routes", "version" => version,
-            "routes" => count);
+            "routes" => count, "source" => %source);
         self.redistribute_connections();
         self.update_readiness();
         self.state_changed.notify_waiters();
@@ -354,6 +372,18 @@
             .set((!answered).then(|| outage_start.unwrap_or_else(clock::now)));
     }
 
+    /// Records that the store answered a call that follows a table; returns the time since the
+    /// answer before.
+    pub(in crate::relay) fn record_table_read(&self, table: &'static str) -> Option<Duration> {
+        let now = clock::now();
+        let mut reads = self.table_reads.borrow_mut();
+        if let Some((_, at)) = reads.iter_mut().find(|(name, _)| *name == table) {
+            return Some(now.since(std::mem::replace(at, now)));
+        }
+        reads.push((table, now));
+        None
+    }
+
     /// Applies the list of running VMs and redistributes the connections if their number changed.
     pub(in crate::relay) fn apply_peers(&self, peers: Vec<Peer>) {
         let others = peers.iter().filter(|it| it.vm != self.settings.vm).count();
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -117,6 +117,7 @@
         loan_count: Cell::default(),
         polled_replicas: RefCell::default(),
         outage_start: Cell::default(),
+        table_reads: RefCell::default(),
         leases: RefCell::default(),
         session_count: Cell::default(),
         tunnel_count: Cell::default(),
