--- a/chervildrift_standin/src/deployment/http.rs
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -27,7 +27,14 @@
 
 /// Serves one connection.
 pub(super) async fn serve(handle: Handle, stream: TcpStream) {
-    let service = service_fn(|request| handle_request(&handle, request));
+    let silences = handle.store.silences();
+    let service = service_fn(async |request| {
+        let response = handle_request(&handle, request).await;
+        if handle.store.silences() != silences {
+            std::future::pending::<()>().await;
+        }
+        response
+    });
     let connection = hyper::server::conn::http1::Builder::new();
     // Ends when the client closes the connection or a response is dropped.
     let _ended = connection
--- a/chervildrift_standin/src/deployment/store.rs
+++ b/chervildrift_standin/src/deployment/store.rs
@@ -34,6 +34,8 @@
     down: bool,
     lost_answers: u32,
     delay: Duration,
+    /// Number of times that the open connections have fallen silent.
+    silences: u64,
 }
 
 /// Store of the platform.
@@ -91,6 +93,16 @@
         self.lock().lost_answers = count;
     }
 
+    /// Makes the connections that are open now silent for good, without closing them; new ones work.
+    pub fn silence_connections(&self) {
+        self.lock().silences += 1;
+    }
+
+    /// Returns how often the open connections have fallen silent.
+    pub(super) fn silences(&self) -> u64 {
+        self.lock().silences
+    }
+
     /// Sets the time between a write and its response.
     pub fn set_delay(&self, delay: Duration) {
         self.lock().delay = delay;
