Leave time in apply_ms for noticing a lost feed call

Cause: a call that waits for changes of the store took the whole bound as its wait and 1 s more until it was given up. If it is lost without an error, an observer has a newer configuration only after that, and tells its zone until then that its view is current. A change ends the calls of all observers, so their next ones begin together and are lost together; comparing routes finds nothing then. After a failure the next call waited as long again.

Evidence: lost_feeds failed with 4.936 s, 4.943 s and 4.941 s for a bound of 4 s.

Change: the wait is the bound less the time for noticing a lost call, a second call and two requests for views (2.9 s). After a failure, the next call doesn't wait. Feeds of the upstreams' entries wait as long.

--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -4,17 +4,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::DirectoryEntry;
+use chervildrift_core::relay::{DirectoryEntry, feed_wait};
 use chervildrift_core::types::Upstream;
 use chervildrift_platform::catalog::{
     CONFIG_KEY, CONFIG_TABLE, UPSTREAM_TABLE, decode_entry, decode_routes,
 };
-use chervildrift_platform::store::{Error, FeedResponse, Row};
+use chervildrift_platform::store::{Error, FeedResponse, Row, Timeouts};
 use slog::{info, warn};
 use tokio::time::sleep;
 
 use crate::relay::clock;
-use crate::relay::fleet::outliers;
+use crate::relay::fleet::{outliers, view};
 use crate::relay::node::{Node, RouteSource};
 
 /// Delay after the first failed call; doubles with each failure up to [`MAX_RETRY_DELAY`].
@@ -40,6 +40,8 @@
     on_listing: impl Fn(&Node, Vec<Row>),
     on_change: impl Fn(&Node, Row),
 ) {
+    let apply_bound = Duration::from_secs_f64(node.settings.apply_ms / 1_000.0);
+    let max_wait = feed_wait(apply_bound, lost_call_reaction());
     let mut feed_version = None;
     let mut failures = 0;
     loop {
@@ -54,7 +56,22 @@
             continue;
         }
         let sent_at = clock::now();
-        match fetch_changes(&node, table, &mut feed_version, &on_listing, &on_change).await {
+        // After a failure an answer is needed soon, to see that the store responds and what is new.
+        let wait = if failures > 0 {
+            Duration::ZERO
+        } else {
+            max_wait
+        };
+        match fetch_changes(
+            &node,
+            table,
+            &mut feed_version,
+            wait,
+            &on_listing,
+            &on_change,
+        )
+        .await
+        {
             Ok(()) => {
                 node.metrics
                     .store_calls
@@ -86,6 +103,18 @@
     }
 }
 
+/// Returns the maximum time from the end of the wait of a lost feed call until all VMs have the
+/// change that it missed.
+///
+/// Either the observer reads the store again and the VMs of its zone request its view, or its view
+/// stops being current and they request another one.
+fn lost_call_reaction() -> Duration {
+    let timeout = Timeouts::default().request;
+    let own_view = MIN_RETRY_DELAY + timeout + view::MAX_VIEW_DELAY;
+    let other_view = view::STORE_OUTAGE_THRESHOLD + view::MAX_VIEW_DELAY * 2;
+    timeout + own_view.max(other_view)
+}
+
 /// Returns whether this VM reads the store now.
 ///
 /// A VM whose role is not known yet waits for it, since an observer may have what it needs, unless
@@ -98,6 +127,7 @@
     node: &Node,
     table: &str,
     feed_version: &mut Option<u64>,
+    wait: Duration,
     on_listing: &impl Fn(&Node, Vec<Row>),
     on_change: &impl Fn(&Node, Row),
 ) -> Result<(), Error> {
@@ -107,9 +137,6 @@
         *feed_version = Some(listing.version);
         return Ok(());
     };
-    // If the store loses a feed call, this is noticed after about this wait, so the wait is the
-    // time within which a new configuration must be in force.
-    let wait = Duration::from_secs_f64(node.settings.apply_ms / 1_000.0);
     match node.store.feed(table, after, wait).await? {
         FeedResponse::Changes(changes) => {
             for row in changes.rows {
--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -37,6 +37,9 @@
 /// Timeout for the view of an observer.
 const POLL_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Maximum time until a VM has received the view of its observer.
+pub(in crate::relay) const MAX_VIEW_DELAY: Duration = POLL_INTERVAL.saturating_add(POLL_TIMEOUT);
+
 /// Time without a view after which a VM reads the store itself.
 const VIEW_TTL: Duration = Duration::from_millis(1_500);
 
@@ -44,7 +47,7 @@
 const COMPARISON_INTERVAL: Duration = Duration::from_millis(700);
 
 /// Time for which calls to the store must have failed before another VM is asked for its view.
-const STORE_OUTAGE_THRESHOLD: Duration = Duration::from_millis(600);
+pub(in crate::relay) const STORE_OUTAGE_THRESHOLD: Duration = Duration::from_millis(600);
 
 /// Interval at which other VMs are asked, one at a time, while the store is unavailable.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(400);
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -13,6 +13,7 @@
 mod connection_cache;
 mod directory;
 mod election;
+mod feed_wait;
 mod group;
 mod holders;
 mod leader_selection;
@@ -38,6 +39,7 @@
     Authority, ElectionAction, ElectionState, Lease, ORDER_WINDOW, PROMOTION_DURATION, Vote,
     decide_election,
 };
+pub use self::feed_wait::feed_wait;
 pub use self::group::{
     FenceState, Group, MinPosition, ReplicationState, SessionCommit, fence_timeout,
 };
