Ask observers of other zones as soon as those of the own zone have failed

What callers saw: where the store was lost to all observers of a zone, its other VMs kept an older configuration while they asked the same observers again. Cause: a VM asked the first observer of its zone a second time before those of other zones, and waited 250 ms between requests that had failed. Change: each observer of the zone is asked once, then all in turn; 100 ms lie between requests after a failure, until the VM reads the store itself. The choice has moved to the core.

--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -10,7 +10,7 @@
 
 use chervildrift_core::placement::name_hash;
 use chervildrift_core::relay::{
-    CachedView, LeaderStatus, Peer, ViewRequest, digest, observers, zone_observers,
+    CachedView, LeaderStatus, ViewRequest, digest, observer_to_ask, observers,
 };
 use chervildrift_core::types::{Service, Time, Upstream};
 use futures::StreamExt;
@@ -31,8 +31,9 @@
 /// Interval at which a VM requests the view of its observer.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Interval at which a VM requests the first view after its start.
-const FIRST_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which a VM requests the first view after its start, or another observer's view after
+/// a failure.
+const SHORT_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Timeout for the view of an observer.
 const POLL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -271,18 +272,25 @@
 pub(in crate::relay) async fn follow_observers(node: Rc<Node>) {
     let mut failures = 0;
     loop {
-        let has_view = node.routes.borrow().version() > 0 && node.upstreams_listed.get();
-        let pause = if has_view {
+        let has_content = node.routes.borrow().version() > 0 && node.upstreams_listed.get();
+        // Without a view, the VM reads the store itself and is in no hurry.
+        let is_losing_view = failures > 0 && node.view_at.get().is_some();
+        let pause = if has_content && !is_losing_view {
             POLL_INTERVAL
         } else {
-            FIRST_POLL_INTERVAL
+            SHORT_POLL_INTERVAL
         };
         sleep(pause).await;
         if node.is_observer() {
             node.view_at.set(None);
             continue;
         }
-        if let Some(source) = observer_to_ask(&node, failures) {
+        let source = {
+            let peers = node.peers.borrow();
+            let (vm, zone) = (&node.settings.vm, &node.settings.zone);
+            observer_to_ask(vm, zone, &peers, failures).cloned()
+        };
+        if let Some(source) = source {
             let sent_at = clock::now();
             let mut request = own_parts(&node);
             let stop_phase = *node.stop_phase.borrow();
@@ -309,18 +317,6 @@
     }
 }
 
-/// Returns the observer to ask after some failures: those of the own zone by turns, and then those
-/// of the other zones.
-fn observer_to_ask(node: &Node, failures: usize) -> Option<Peer> {
-    let peers = node.peers.borrow();
-    let own = zone_observers(&node.settings.zone, &peers);
-    let all = observers(&peers);
-    let start = name_hash(node.settings.vm.as_str()) as usize;
-    let order = if failures <= own.len() { &own } else { &all };
-    let at = start.wrapping_add(failures) % order.len().max(1);
-    order.get(at).map(|it| (*it).clone())
-}
-
 /// Applies the view of an observer, requested at `sent_at`.
 fn apply_view(node: &Node, view: CachedView, sent_at: Time) {
     if let Some(routes) = view.routes {
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -49,7 +49,7 @@
 pub use self::membership::{
     HEARD_TTL, ListedPresence, MIN_RENEWAL_AGE, PRESENCE_TTL, Presence, due_renewals, running_peers,
 };
-pub use self::observers::{observers, zone_observers};
+pub use self::observers::{observer_to_ask, observers, zone_observers};
 pub use self::occupancy::{OCCUPANCY_WINDOW, Occupancy};
 pub use self::organisation::{KeyDigest, OrganisationRules, OrganisationTable, Quota};
 pub use self::outliers::{Ejection, EjectionNews, Health, Outcome, avoided, eject_outliers};
--- a/chervildrift_core/src/relay/observers.rs
+++ b/chervildrift_core/src/relay/observers.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeSet;
 
 use super::cached_view::Peer;
-use crate::placement::{poller_key, rendezvous_order};
+use crate::placement::{name_hash, poller_key, rendezvous_order};
 use crate::types::{Vm, Zone};
 
 /// Minimum number of observers of a zone, so that one can be lost.
@@ -40,3 +40,23 @@
     all.sort_by(|a, b| a.vm.cmp(&b.vm));
     all
 }
+
+/// Returns the observer that a VM asks for its view after a number of failures in a row: each one of
+/// its zone once, and then those of all zones by turns.
+#[must_use]
+pub fn observer_to_ask<'a>(
+    vm: &Vm,
+    zone: &Zone,
+    peers: &'a [Peer],
+    failures: usize,
+) -> Option<&'a Peer> {
+    let own = zone_observers(zone, peers);
+    let order = if failures < own.len() {
+        own
+    } else {
+        observers(peers)
+    };
+    let start = name_hash(vm.as_str()) as usize;
+    let at = start.wrapping_add(failures) % order.len().max(1);
+    order.get(at).copied()
+}
