Count a drain that was learned late from the last answer of the store

What callers saw: work reached a leaving primary after its drain time, if the feed call that would have told of the drain was lost and no other upstream had taken over. The drain counted from when the VM learned of it. Evidence: test late_drain failed: a write was run 4 s after a drain of 4 s had been published to connections that had fallen silent. Change: after a lost call or lost history, an entry counts as changed from the last time the table's content was received; views of observers carry the ages of drains.

--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use chervildrift_core::relay::{DirectoryEntry, StoreOutage, feed_wait};
-use chervildrift_core::types::Upstream;
+use chervildrift_core::types::{Time, Upstream};
 use chervildrift_platform::catalog::{
     CONFIG_KEY, CONFIG_TABLE, UPSTREAM_TABLE, decode_entry, decode_routes,
 };
@@ -37,8 +37,8 @@
 async fn follow_table(
     node: Rc<Node>,
     table: &'static str,
-    on_listing: impl Fn(&Node, Vec<Row>),
-    on_change: impl Fn(&Node, Row),
+    on_listing: impl Fn(&Node, Vec<Row>, Time),
+    on_change: impl Fn(&Node, Row, Time),
 ) {
     let apply_bound = Duration::from_secs_f64(node.settings.apply_ms / 1_000.0);
     let max_wait = feed_wait(apply_bound, lost_call_reaction());
@@ -56,6 +56,7 @@
             continue;
         }
         let sent_at = clock::now();
+        let read_before = node.table_read_at(table);
         // After a failure an answer is needed soon, to see that the store responds and what is new.
         let wait = if failures > 0 {
             Duration::ZERO
@@ -78,10 +79,10 @@
                     .with_label_values(&[table, "done"])
                     .inc();
                 node.update_outage(StoreOutage::record_answer);
-                let silence = node.record_table_read(table);
                 if failures > 0 {
+                    let silence = read_before.map(|at| clock::now().since(at).as_millis() as u64);
                     info!(node.log, "store available again"; "event" => "store", "table" => table,
-                        "silent_ms" => silence.map(|it| it.as_millis() as u64));
+                        "silent_ms" => silence);
                 }
                 failures = 0;
             }
@@ -124,26 +125,34 @@
     node.follows_store() || !node.is_settled() && node.outage.get().has_begun()
 }
 
+/// Lists a table, or waits for its changes; passes on the rows with the earliest time at which they
+/// may have changed.
 async fn fetch_changes(
     node: &Node,
-    table: &str,
+    table: &'static str,
     feed_version: &mut Option<u64>,
     wait: Duration,
-    on_listing: &impl Fn(&Node, Vec<Row>),
-    on_change: &impl Fn(&Node, Row),
+    on_listing: &impl Fn(&Node, Vec<Row>, Time),
+    on_change: &impl Fn(&Node, Row, Time),
 ) -> Result<(), Error> {
+    let read_before = node.table_read_at(table);
     let Some(after) = *feed_version else {
         let listing = node.store.list(table).await?;
-        on_listing(node, listing.rows);
+        on_listing(node, listing.rows, read_before.unwrap_or_else(clock::now));
         *feed_version = Some(listing.version);
+        node.record_table_read(table);
         return Ok(());
     };
     match node.store.feed(table, after, wait).await? {
         FeedResponse::Changes(changes) => {
+            // A call that waits returns with the change; another one may have been missed earlier.
+            let read_before = read_before.filter(|_| wait.is_zero());
+            let earliest = read_before.unwrap_or_else(clock::now);
             for row in changes.rows {
-                on_change(node, row);
+                on_change(node, row, earliest);
             }
             *feed_version = Some(changes.version.max(after));
+            node.record_table_read(table);
         }
         FeedResponse::Compacted => *feed_version = None,
     }
@@ -152,12 +161,12 @@
 
 /// Follows the operator's configuration.
 pub(in crate::relay) async fn follow_routes(node: Rc<Node>) {
-    let on_listing = |node: &Node, rows: Vec<Row>| {
+    let on_listing = |node: &Node, rows: Vec<Row>, _changed| {
         for row in rows {
             apply_config(node, &row, RouteSource::Listing);
         }
     };
-    let on_change = |node: &Node, row: Row| apply_config(node, &row, RouteSource::Feed);
+    let on_change = |node: &Node, row: Row, _changed| apply_config(node, &row, RouteSource::Feed);
     follow_table(node, CONFIG_TABLE, on_listing, on_change).await;
 }
 
@@ -176,21 +185,21 @@
 
 /// Follows the entries of the upstreams.
 pub(in crate::relay) async fn follow_upstreams(node: Rc<Node>) {
-    let on_listing = |node: &Node, rows: Vec<Row>| {
+    let on_listing = |node: &Node, rows: Vec<Row>, changed: Time| {
         let entries: Vec<DirectoryEntry> = rows
             .iter()
             .filter_map(|row| decode_row(node, row))
             .collect();
-        node.apply_listing(entries);
+        node.apply_listing(entries, |_| changed);
     };
-    let on_change = |node: &Node, row: Row| {
+    let on_change = |node: &Node, row: Row, changed: Time| {
         let upstream = Upstream::from(row.key.as_str());
         if row.removed {
             node.directory
                 .borrow_mut()
                 .mark_missing(clock::now(), &upstream);
         } else if let Some(entry) = decode_row(node, &row) {
-            node.apply_entry(entry);
+            node.apply_entry(entry, changed);
         } else {
             node.directory.borrow_mut().remove(&upstream);
             node.remove_upstreams(&[upstream]);
--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -10,9 +10,10 @@
 
 use chervildrift_core::placement::name_hash;
 use chervildrift_core::relay::{
-    CachedView, LeaderStatus, ViewRequest, digest, observer_to_ask, observers,
+    CachedView, DirectoryEntry, LeaderStatus, ViewRequest, digest, observer_to_ask, observers,
 };
 use chervildrift_core::types::{Service, Time, Upstream};
+use chervildrift_platform::catalog::{CONFIG_TABLE, UPSTREAM_TABLE};
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use slog::info;
@@ -68,6 +69,12 @@
         routes: (routes.version() > request.routes).then(|| routes.current().clone()),
         entries: changed(request.entries, own.entries)
             .then(|| node.directory.borrow().iter().cloned().collect()),
+        drains: {
+            let directory = node.directory.borrow();
+            let ages = directory.drain_ages(clock::now());
+            ages.map(|(upstream, age)| (upstream.clone(), age.as_millis() as u64))
+                .collect()
+        },
         judgements: services
             .iter()
             .map(|service| leader_status(node, service))
@@ -248,6 +255,17 @@
     }
 }
 
+/// Applies the upstreams' entries of another VM's view.
+fn apply_entries(node: &Node, entries: Vec<DirectoryEntry>, drains: &[(Upstream, u64)]) {
+    let now = clock::now();
+    node.apply_listing(entries, |upstream| {
+        let age = drains.iter().find(|(name, _)| name == upstream);
+        age.map_or(now, |(_, ms)| {
+            Time(now.0.saturating_sub(ms.saturating_mul(1_000)))
+        })
+    });
+}
+
 /// Applies what another VM has read from the store.
 fn apply_store_content(node: &Node, view: CachedView) {
     if !node.upstreams_listed.get() {
@@ -259,7 +277,7 @@
         node.apply_routes(routes, RouteSource::Peer);
     }
     if let Some(entries) = view.entries {
-        node.apply_listing(entries);
+        apply_entries(node, entries, &view.drains);
     }
     if let Some(peers) = view.peers
         && node.peers.borrow().len() < peers.len()
@@ -302,6 +320,9 @@
                         node.renewed_at.set(Some(sent_at));
                     }
                     apply_view(&node, view, sent_at);
+                    for table in [CONFIG_TABLE, UPSTREAM_TABLE] {
+                        node.record_table_read(table);
+                    }
                     node.view_at.set(Some(sent_at));
                 }
                 _ => failures += 1,
@@ -323,7 +344,7 @@
         node.apply_routes(routes, RouteSource::Peer);
     }
     if let Some(entries) = view.entries {
-        node.apply_listing(entries);
+        apply_entries(node, entries, &view.drains);
     }
     if let Some(peers) = view.peers {
         node.apply_peers(peers);
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -109,7 +109,7 @@
     pub polled_replicas: RefCell<HashSet<Upstream>>,
     /// Outage of the store, if its last call failed.
     pub outage: Cell<StoreOutage>,
-    /// Time at which the store last answered a call that follows a table, by table.
+    /// Time at which the content of a table was last received, from the store or an observer.
     pub table_reads: RefCell<SmallVec<[(&'static str, Time); 2]>>,
     /// Leases under which this VM may order promotions, by service.
     pub leases: RefCell<HashMap<Service, Authority>>,
@@ -149,8 +149,8 @@
         self.state_changed.notify_waiters();
     }
 
-    /// Applies a new or changed entry of an upstream.
-    pub(in crate::relay) fn apply_entry(&self, entry: DirectoryEntry) {
+    /// Applies a new or changed entry of an upstream, which may have changed from `changed` on.
+    pub(in crate::relay) fn apply_entry(&self, entry: DirectoryEntry, changed: Time) {
         let known = self.pools.borrow().get(&entry.upstream).cloned();
         let old = self.directory.borrow().get(&entry.upstream).cloned();
         if let Some(pool) = known {
@@ -164,21 +164,27 @@
             pool.set_holders(holders);
             self.pools.borrow_mut().insert(entry.upstream.clone(), pool);
         }
-        let changed =
+        let is_news =
             old.is_none_or(|old| old.role != entry.role || old.draining != entry.draining);
-        if changed {
+        if is_news {
             info!(self.log, "upstream changed"; "event" => "upstream",
                 "upstream" => %entry.upstream, "service" => %entry.service, "role" => %entry.role,
                 "draining" => entry.draining, "version" => entry.version);
         }
         let service = entry.service.clone();
-        self.directory.borrow_mut().put(clock::now(), entry);
+        self.directory.borrow_mut().put(changed, entry);
         self.adopt_reported_leader(&service);
     }
 
     /// Applies a full listing of the upstreams; skips entries that are older than the known ones,
     /// and marks known upstreams that the listing lacks as lapsed.
-    pub(in crate::relay) fn apply_listing(&self, entries: Vec<DirectoryEntry>) {
+    ///
+    /// `changed` returns the earliest time at which an upstream's entry may have changed.
+    pub(in crate::relay) fn apply_listing(
+        &self,
+        entries: Vec<DirectoryEntry>,
+        changed: impl Fn(&Upstream) -> Time,
+    ) {
         let names: Vec<Upstream> = entries.iter().map(|it| it.upstream.clone()).collect();
         self.directory
             .borrow_mut()
@@ -190,7 +196,8 @@
                 .get(&entry.upstream)
                 .map(|it| it.version);
             if known.is_none_or(|known| known <= entry.version) {
-                self.apply_entry(entry);
+                let changed = changed(&entry.upstream);
+                self.apply_entry(entry, changed);
             }
         }
         self.upstreams_listed.set(true);
@@ -370,16 +377,17 @@
         self.outage.set(outage);
     }
 
-    /// Records that the store answered a call that follows a table; returns the time since the
-    /// answer before.
-    pub(in crate::relay) fn record_table_read(&self, table: &'static str) -> Option<Duration> {
-        let now = clock::now();
+    /// Records that the content of a table was received.
+    pub(in crate::relay) fn record_table_read(&self, table: &'static str) {
         let mut reads = self.table_reads.borrow_mut();
-        if let Some((_, at)) = reads.iter_mut().find(|(name, _)| *name == table) {
-            return Some(now.since(std::mem::replace(at, now)));
-        }
-        reads.push((table, now));
-        None
+        reads.retain(|(name, _)| *name != table);
+        reads.push((table, clock::now()));
+    }
+
+    /// Returns the time at which the content of a table was last received.
+    pub(in crate::relay) fn table_read_at(&self, table: &str) -> Option<Time> {
+        let reads = self.table_reads.borrow();
+        reads.iter().find(|(name, _)| *name == table).map(|it| it.1)
     }
 
     /// Applies the list of running VMs and redistributes the connections if their number changed.
--- a/chervildrift/tests/relay_leaders.rs
+++ b/chervildrift/tests/relay_leaders.rs
@@ -65,6 +65,26 @@
     assert_eq!(session.run("READ x").await.rows, ["2"]);
 }
 
+/// Guards against work at a leaving primary after its drain time, if the VM learns late that it
+/// leaves and it isn't replaced.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_drain() {
+    let drain = Duration::from_secs(4);
+    let fleet = Fleet::spawn_with(1, &Options::default(), "drain_ms: 4000\n").await;
+    let mut session = session_after_write(&fleet).await;
+    fleet.platform.databases.ignore_orders(u32::MAX);
+    fleet.platform.databases.mark_draining(0);
+    fleet.platform.store.silence_connections();
+    fleet.platform.register();
+    let start = Instant::now();
+    while start.elapsed() < drain {
+        session.run("WRITE x 2").await;
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let response = session.run("WRITE x 3").await;
+    assert!(!response.succeeded(), "{response:?}");
+}
+
 /// Guards against reads and writes at a primary that was replaced without a report in the store.
 #[tokio::test(flavor = "multi_thread")]
 async fn unreported_change() {
--- a/chervildrift_core/src/relay/cached_view.rs
+++ b/chervildrift_core/src/relay/cached_view.rs
@@ -70,6 +70,9 @@
     pub routes: Option<Routes>,
     /// Known upstreams, unless the requesting VM knows the same ones.
     pub entries: Option<Vec<DirectoryEntry>>,
+    /// Times for which upstreams among the entries have been draining, in milliseconds.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drains: Vec<(Upstream, u64)>,
     /// Leaders of the services.
     pub judgements: Vec<LeaderStatus>,
     /// Running VMs, unless the requesting VM knows the same ones.
--- a/chervildrift_core/src/relay/directory.rs
+++ b/chervildrift_core/src/relay/directory.rs
@@ -51,7 +51,7 @@
     drain_window: Duration,
     entries: HashMap<Upstream, DirectoryEntry>,
     missing_since: HashMap<Upstream, Time>,
-    /// Time at which each draining upstream was first seen draining.
+    /// Time from which each draining upstream may have been draining.
     draining_since: HashMap<Upstream, Time>,
     /// Upstreams that were draining when they were first seen, for an unknown time.
     first_seen_draining: HashSet<Upstream>,
@@ -70,15 +70,15 @@
         }
     }
 
-    /// Inserts a new or changed entry.
-    pub fn put(&mut self, now: Time, entry: DirectoryEntry) {
+    /// Inserts a new or changed entry; `changed` is the earliest time at which it may have changed.
+    pub fn put(&mut self, changed: Time, entry: DirectoryEntry) {
         if entry.draining {
             if !self.entries.contains_key(&entry.upstream) {
                 self.first_seen_draining.insert(entry.upstream.clone());
             }
             self.draining_since
                 .entry(entry.upstream.clone())
-                .or_insert(now);
+                .or_insert(changed);
         } else {
             self.draining_since.remove(&entry.upstream);
             self.first_seen_draining.remove(&entry.upstream);
@@ -87,6 +87,12 @@
         self.entries.insert(entry.upstream.clone(), entry);
     }
 
+    /// Returns the times for which upstreams have been draining.
+    pub fn drain_ages(&self, now: Time) -> impl Iterator<Item = (&Upstream, Duration)> {
+        let drains = self.draining_since.iter();
+        drains.map(move |(upstream, since)| (upstream, now.since(*since)))
+    }
+
     /// Records that an entry disappeared; its upstream is kept for a grace period.
     pub fn mark_missing(&mut self, now: Time, upstream: &Upstream) {
         if self.entries.contains_key(upstream) {
--- a/chervildrift_core/tests/relay_state.rs
+++ b/chervildrift_core/tests/relay_state.rs
@@ -104,6 +104,19 @@
     assert!(!directory.is_closed(at(300), &name), "the age is known");
 }
 
+/// Guards against a drain that counts only from when a VM learned of it, after lost calls.
+#[test]
+fn drain_age() {
+    let (mut directory, name) = (Directory::new(DRAIN), Upstream::from("a"));
+    directory.put(at(0), entry("a", Role::Primary, 1));
+    let mut leaving = entry("a", Role::Primary, 2);
+    leaving.draining = true;
+    directory.put(at(1_000), leaving);
+    let ages: Vec<_> = directory.drain_ages(at(4_000)).collect();
+    assert_eq!(ages, [(&name, Duration::from_secs(3))]);
+    assert!(directory.is_past_drain(at(6_500), &name));
+}
+
 /// Guards against work for a leaving upstream on platforms with a shorter drain time.
 #[test]
 fn short_drain() {
