--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -57,6 +57,10 @@
         }
         let sent_at = clock::now();
         let read_before = node.table_read_at(table);
+        // Longer outages count as this long, so that an upstream that began to leave after one is not
+        // taken for one that has left.
+        let earliest = sent_at.before(lost_call_time(max_wait));
+        let unseen_since = read_before.map_or(sent_at, |at| at.max(earliest));
         // After a failure an answer is needed soon, to see that the store responds and what is new.
         let wait = if failures > 0 {
             Duration::ZERO
@@ -68,6 +72,7 @@
             table,
             &mut feed_version,
             wait,
+            unseen_since,
             &on_listing,
             &on_change,
         )
@@ -117,6 +122,12 @@
     own_view.max(other_view)
 }
 
+/// Returns the maximum time for which one lost call may hide a change.
+fn lost_call_time(wait: Duration) -> Duration {
+    let timeout = Timeouts::default().request;
+    wait + timeout + MIN_RETRY_DELAY + timeout
+}
+
 /// Returns whether this VM reads the store now.
 ///
 /// A VM whose role is not known yet waits for it, since an observer may have what it needs, unless
@@ -132,24 +143,27 @@
     table: &'static str,
     feed_version: &mut Option<u64>,
     wait: Duration,
+    unseen_since: Time,
     on_listing: &impl Fn(&Node, Vec<Row>, Time),
     on_change: &impl Fn(&Node, Row, Time),
 ) -> Result<(), Error> {
-    let read_before = node.table_read_at(table);
     let Some(after) = *feed_version else {
         let listing = node.store.list(table).await?;
-        on_listing(node, listing.rows, read_before.unwrap_or_else(clock::now));
+        on_listing(node, listing.rows, unseen_since);
         *feed_version = Some(listing.version);
         node.record_table_read(table);
         return Ok(());
     };
     match node.store.feed(table, after, wait).await? {
         FeedResponse::Changes(changes) => {
-            // A call that waits returns with the change; another one may have been missed earlier.
-            let read_before = read_before.filter(|_| wait.is_zero());
-            let earliest = read_before.unwrap_or_else(clock::now);
+            // A call that waits returns with the change; one after a failure may return older ones.
+            let since = if wait.is_zero() {
+                unseen_since
+            } else {
+                clock::now()
+            };
             for row in changes.rows {
-                on_change(node, row, earliest);
+                on_change(node, row, since);
             }
             *feed_version = Some(changes.version.max(after));
             node.record_table_read(table);
--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -260,9 +260,7 @@
     let now = clock::now();
     node.apply_listing(entries, |upstream| {
         let age = drains.iter().find(|(name, _)| name == upstream);
-        age.map_or(now, |(_, ms)| {
-            Time(now.0.saturating_sub(ms.saturating_mul(1_000)))
-        })
+        age.map_or(now, |(_, ms)| now.before(Duration::from_millis(*ms)))
     });
 }
 
@@ -355,7 +353,7 @@
     for status in view.judgements {
         if let (Some(leader), Some((position, age_ms))) = (status.leader, status.sample) {
             let age = Duration::from_millis(age_ms);
-            let sampled_at = Time((sent_at.since(Time(age.as_micros() as u64))).as_micros() as u64);
+            let sampled_at = sent_at.before(age);
             node.merge_sample(&status.service, sampled_at, &leader, position);
         }
     }
--- a/chervildrift_core/src/types/time.rs
+++ b/chervildrift_core/src/types/time.rs
@@ -31,6 +31,13 @@
     pub const fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
+
+    /// Returns the time that lies `age` earlier, or the start of the process if it lies before it.
+    #[must_use]
+    pub fn before(self, age: Duration) -> Self {
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
 }
 
 impl Add<Duration> for Time {
