Give the timing of a feed call and the gauges types of their own

fetch_changes had seven arguments and follow_table mixed the timing of calls with their outcome; gauges were updated through the struct of all metrics. Names only, no change of behaviour.

--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -33,6 +33,37 @@
 /// Interval of that check right after the start, when callers wait for the first configuration.
 const SETTLE_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Timing of one call that follows a table.
+#[derive(Clone, Copy, Debug)]
+struct CallTiming {
+    /// Time for which the store waits for a change.
+    wait: Duration,
+    /// Time from which changes may have been missed.
+    unseen_since: Time,
+}
+
+impl CallTiming {
+    /// Returns the timing of a call that is sent now, after a number of failures in a row.
+    fn new(node: &Node, table: &str, failures: u32) -> Self {
+        let apply_bound = Duration::from_secs_f64(node.settings.apply_ms / 1_000.0);
+        let max_wait = feed_wait(apply_bound, lost_call_reaction());
+        let now = clock::now();
+        // Longer outages count as this long, so that an upstream that began to leave after one is not
+        // taken for one that has left.
+        let earliest = now.before(max_unseen_time(max_wait));
+        let read_at = node.table_read_at(table);
+        Self {
+            // After a failure an answer is needed soon, to see that the store responds.
+            wait: if failures > 0 {
+                Duration::ZERO
+            } else {
+                max_wait
+            },
+            unseen_since: read_at.map_or(now, |at| at.max(earliest)),
+        }
+    }
+}
+
 /// Lists a table and follows its changes until the process ends.
 async fn follow_table(
     node: Rc<Node>,
@@ -40,10 +71,8 @@
     on_listing: impl Fn(&Node, Vec<Row>, Time),
     on_change: impl Fn(&Node, Row, Time),
 ) {
-    let apply_bound = Duration::from_secs_f64(node.settings.apply_ms / 1_000.0);
-    let max_wait = feed_wait(apply_bound, lost_call_reaction());
     let mut feed_version = None;
-    let mut failures = 0;
+    let mut failures: u32 = 0;
     loop {
         if !may_read(&node) {
             let is_settled = node.is_settled();
@@ -57,27 +86,9 @@
         }
         let sent_at = clock::now();
         let read_before = node.table_read_at(table);
-        // Longer outages count as this long, so that an upstream that began to leave after one is not
-        // taken for one that has left.
-        let earliest = sent_at.before(lost_call_time(max_wait));
-        let unseen_since = read_before.map_or(sent_at, |at| at.max(earliest));
-        // After a failure an answer is needed soon, to see that the store responds and what is new.
-        let wait = if failures > 0 {
-            Duration::ZERO
-        } else {
-            max_wait
-        };
-        match fetch_changes(
-            &node,
-            table,
-            &mut feed_version,
-            wait,
-            unseen_since,
-            &on_listing,
-            &on_change,
-        )
-        .await
-        {
+        let timing = CallTiming::new(&node, table, failures);
+        let version = &mut feed_version;
+        match fetch_changes(&node, table, version, timing, &on_listing, &on_change).await {
             Ok(()) => {
                 node.metrics
                     .store_calls
@@ -96,7 +107,7 @@
                     .store_calls
                     .with_label_values(&[table, "failed"])
                     .inc();
-                let due = sent_at + wait;
+                let due = sent_at + timing.wait;
                 node.update_outage(|outage| outage.record_failure(clock::now(), due));
                 if failures == 0 {
                     warn!(node.log, "store unavailable"; "event" => "store", "table" => table,
@@ -123,7 +134,7 @@
 }
 
 /// Returns the maximum time for which one lost call may hide a change.
-fn lost_call_time(wait: Duration) -> Duration {
+fn max_unseen_time(wait: Duration) -> Duration {
     let timeout = Timeouts::default().request;
     wait + timeout + MIN_RETRY_DELAY + timeout
 }
@@ -142,23 +153,22 @@
     node: &Node,
     table: &'static str,
     feed_version: &mut Option<u64>,
-    wait: Duration,
-    unseen_since: Time,
+    timing: CallTiming,
     on_listing: &impl Fn(&Node, Vec<Row>, Time),
     on_change: &impl Fn(&Node, Row, Time),
 ) -> Result<(), Error> {
     let Some(after) = *feed_version else {
         let listing = node.store.list(table).await?;
-        on_listing(node, listing.rows, unseen_since);
+        on_listing(node, listing.rows, timing.unseen_since);
         *feed_version = Some(listing.version);
         node.record_table_read(table);
         return Ok(());
     };
-    match node.store.feed(table, after, wait).await? {
+    match node.store.feed(table, after, timing.wait).await? {
         FeedResponse::Changes(changes) => {
             // A call that waits returns with the change; one after a failure may return older ones.
-            let since = if wait.is_zero() {
-                unseen_since
+            let since = if timing.wait.is_zero() {
+                timing.unseen_since
             } else {
                 clock::now()
             };
--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -69,12 +69,7 @@
         routes: (routes.version() > request.routes).then(|| routes.current().clone()),
         entries: changed(request.entries, own.entries)
             .then(|| node.directory.borrow().iter().cloned().collect()),
-        drains: {
-            let directory = node.directory.borrow();
-            let ages = directory.drain_ages(clock::now());
-            ages.map(|(upstream, age)| (upstream.clone(), age.as_millis() as u64))
-                .collect()
-        },
+        drains: drains(node),
         judgements: services
             .iter()
             .map(|service| leader_status(node, service))
@@ -90,6 +85,14 @@
     }
 }
 
+/// Returns the times in milliseconds for which upstreams have been draining.
+fn drains(node: &Node) -> Vec<(Upstream, u64)> {
+    let directory = node.directory.borrow();
+    let ages = directory.drain_ages(clock::now());
+    ages.map(|(upstream, age)| (upstream.clone(), age.as_millis() as u64))
+        .collect()
+}
+
 fn leader_status(node: &Node, service: &Service) -> LeaderStatus {
     let now = clock::now();
     node.with_group(service, |group| LeaderStatus {
--- a/chervildrift/src/relay/metrics.rs
+++ b/chervildrift/src/relay/metrics.rs
@@ -159,6 +159,44 @@
             )?,
         })
     }
+
+    fn update(&self, node: &Node) {
+        let to_i64 = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
+        let version = node.routes.borrow().version();
+        self.version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.sessions.set(to_i64(node.session_count.get()));
+        self.vms.set(to_i64(node.vm_count.get()));
+        for (upstream, pool) in &*node.pools.borrow() {
+            let connections = self.connections.with_label_values(&[upstream.as_str()]);
+            connections.set(to_i64(pool.open_connections()));
+            let wait = self.waits.with_label_values(&[upstream.as_str()]);
+            wait.set(to_i64(pool.own_wait(Rank::Bulk).as_millis() as usize));
+            let resting = self.resting.with_label_values(&[upstream.as_str()]);
+            resting.set(to_i64(pool.resting()));
+        }
+        let now = clock::now();
+        for (service, group) in &*node.groups.borrow() {
+            let gauge = self.sample_age.with_label_values(&[service.as_str()]);
+            let age = group.sample_age(now).map(|age| age.as_millis());
+            gauge.set(age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1));
+        }
+        self.update_source_ages(node);
+    }
+
+    /// Updates the ages of the sources; -1 stands for one that this VM doesn't follow now.
+    fn update_source_ages(&self, node: &Node) {
+        let now = clock::now();
+        let set_age = |source: &str, at: Option<Time>| {
+            let age = at.map(|at| now.since(at).as_millis());
+            let age = age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1);
+            self.source_age.with_label_values(&[source]).set(age);
+        };
+        let follows = node.follows_store();
+        for (table, at) in &*node.table_reads.borrow() {
+            set_age(table, follows.then_some(*at));
+        }
+        set_age("view", node.view_at.get());
+    }
 }
 
 impl Metrics {
@@ -322,49 +360,7 @@
 
     /// Updates the gauges from the state of the VM.
     pub(in crate::relay) fn update_gauges(&self, node: &Node) {
-        let to_i64 = |value: usize| i64::try_from(value).unwrap_or(i64::MAX);
-        let version = node.routes.borrow().version();
-        self.gauges
-            .version
-            .set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.gauges.sessions.set(to_i64(node.session_count.get()));
-        self.gauges.vms.set(to_i64(node.vm_count.get()));
-        for (upstream, pool) in &*node.pools.borrow() {
-            let connections = self
-                .gauges
-                .connections
-                .with_label_values(&[upstream.as_str()]);
-            connections.set(to_i64(pool.open_connections()));
-            let wait = self.gauges.waits.with_label_values(&[upstream.as_str()]);
-            wait.set(to_i64(pool.own_wait(Rank::Bulk).as_millis() as usize));
-            let resting = self.gauges.resting.with_label_values(&[upstream.as_str()]);
-            resting.set(to_i64(pool.resting()));
-        }
-        let now = clock::now();
-        for (service, group) in &*node.groups.borrow() {
-            let gauge = self
-                .gauges
-                .sample_age
-                .with_label_values(&[service.as_str()]);
-            let age = group.sample_age(now).map(|age| age.as_millis());
-            gauge.set(age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1));
-        }
-        self.update_source_ages(node);
-    }
-
-    /// Updates the ages of the sources; -1 stands for one that this VM doesn't follow now.
-    fn update_source_ages(&self, node: &Node) {
-        let now = clock::now();
-        let set_age = |source: &str, at: Option<Time>| {
-            let age = at.map(|at| now.since(at).as_millis());
-            let age = age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1);
-            self.gauges.source_age.with_label_values(&[source]).set(age);
-        };
-        let follows = node.follows_store();
-        for (table, at) in &*node.table_reads.borrow() {
-            set_age(table, follows.then_some(*at));
-        }
-        set_age("view", node.view_at.get());
+        self.gauges.update(node);
     }
 
     /// Removes the gauge of an upstream that is gone.
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -164,9 +164,9 @@
             pool.set_holders(holders);
             self.pools.borrow_mut().insert(entry.upstream.clone(), pool);
         }
-        let is_news =
+        let has_changed =
             old.is_none_or(|old| old.role != entry.role || old.draining != entry.draining);
-        if is_news {
+        if has_changed {
             info!(self.log, "upstream changed"; "event" => "upstream",
                 "upstream" => %entry.upstream, "service" => %entry.service, "role" => %entry.role,
                 "draining" => entry.draining, "version" => entry.version);
