Pass on the age of what observers have read

What operators saw: source_age_ms of a VM that is behind was young for its view and -1 for the tables, since a view counted as new whatever its observer had read.

Views now carry the age of the routes and of the upstreams' entries, from the store's last answer. A VM that receives a view records that age in place of the time of the view, and the gauge shows it on all VMs. A VM that reads the store after views therefore counts a drain from the store's last answer to its observer, which is earlier than before and so refuses sooner, never later. Views of earlier builds carry no ages and change none.

--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -161,7 +161,7 @@
         let listing = node.store.list(table).await?;
         on_listing(node, listing.rows, timing.unseen_since);
         *feed_version = Some(listing.version);
-        node.record_table_read(table);
+        node.record_table_read(table, clock::now());
         return Ok(());
     };
     match node.store.feed(table, after, timing.wait).await? {
@@ -176,7 +176,7 @@
                 on_change(node, row, since);
             }
             *feed_version = Some(changes.version.max(after));
-            node.record_table_read(table);
+            node.record_table_read(table, clock::now());
         }
         FeedResponse::Compacted => *feed_version = None,
     }
--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -10,7 +10,8 @@
 
 use chervildrift_core::placement::name_hash;
 use chervildrift_core::relay::{
-    CachedView, DirectoryEntry, LeaderStatus, ViewRequest, digest, observer_to_ask, observers,
+    CachedView, ContentAges, DirectoryEntry, LeaderStatus, ViewRequest, digest, observer_to_ask,
+    observers,
 };
 use chervildrift_core::types::{Service, Time, Upstream};
 use chervildrift_platform::catalog::{CONFIG_TABLE, UPSTREAM_TABLE};
@@ -62,6 +63,7 @@
     let services = routes.services();
     CachedView {
         current: has_current_view(node),
+        ages: content_ages(node),
         renews: request
             .vm
             .as_ref()
@@ -85,6 +87,29 @@
     }
 }
 
+/// Returns the ages of what this VM knows of the store.
+fn content_ages(node: &Node) -> ContentAges {
+    let now = clock::now();
+    let age = |table| {
+        let read_at = node.table_read_at(table)?;
+        // Rounded up, so that the content doesn't appear newer than it is.
+        Some(now.since(read_at).as_millis() as u64 + 1)
+    };
+    ContentAges {
+        routes: age(CONFIG_TABLE),
+        entries: age(UPSTREAM_TABLE),
+    }
+}
+
+/// Records the ages of the routes and upstreams of a view, requested at `sent_at`.
+fn record_ages(node: &Node, ages: ContentAges, sent_at: Time) {
+    for (table, age) in [(CONFIG_TABLE, ages.routes), (UPSTREAM_TABLE, ages.entries)] {
+        if let Some(age) = age {
+            node.record_table_read(table, sent_at.before(Duration::from_millis(age)));
+        }
+    }
+}
+
 /// Returns the times in milliseconds for which upstreams have been draining.
 fn drains(node: &Node) -> Vec<(Upstream, u64)> {
     let directory = node.directory.borrow();
@@ -320,10 +345,9 @@
                     if view.renews {
                         node.renewed_at.set(Some(sent_at));
                     }
+                    let ages = view.ages;
                     apply_view(&node, view, sent_at);
-                    for table in [CONFIG_TABLE, UPSTREAM_TABLE] {
-                        node.record_table_read(table);
-                    }
+                    record_ages(&node, ages, sent_at);
                     node.view_at.set(Some(sent_at));
                 }
                 _ => failures += 1,
--- a/chervildrift/src/relay/metrics.rs
+++ b/chervildrift/src/relay/metrics.rs
@@ -154,7 +154,7 @@
             )?,
             source_age: registrar.gauges(
                 "source_age_ms",
-                "Age of tables and views",
+                "Time since the store confirmed the content of a table, and age of the view",
                 &["source"],
             )?,
         })
@@ -183,7 +183,7 @@
         self.update_source_ages(node);
     }
 
-    /// Updates the ages of the sources; -1 stands for one that this VM doesn't follow now.
+    /// Updates the ages of the sources; -1 stands for the view of a VM that reads the store itself.
     fn update_source_ages(&self, node: &Node) {
         let now = clock::now();
         let set_age = |source: &str, at: Option<Time>| {
@@ -191,9 +191,8 @@
             let age = age.and_then(|age| i64::try_from(age).ok()).unwrap_or(-1);
             self.source_age.with_label_values(&[source]).set(age);
         };
-        let follows = node.follows_store();
         for (table, at) in &*node.table_reads.borrow() {
-            set_age(table, follows.then_some(*at));
+            set_age(table, Some(*at));
         }
         set_age("view", node.view_at.get());
     }
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -109,7 +109,7 @@
     pub polled_replicas: RefCell<HashSet<Upstream>>,
     /// Outage of the store, if its last call failed.
     pub outage: Cell<StoreOutage>,
-    /// Time at which the content of a table was last received, from the store or an observer.
+    /// Time at which the store last confirmed what this VM knows of a table, to it or to an observer.
     pub table_reads: RefCell<SmallVec<[(&'static str, Time); 2]>>,
     /// Leases under which this VM may order promotions, by service.
     pub leases: RefCell<HashMap<Service, Authority>>,
@@ -377,14 +377,17 @@
         self.outage.set(outage);
     }
 
-    /// Records that the content of a table was received.
-    pub(in crate::relay) fn record_table_read(&self, table: &'static str) {
+    /// Records that the store confirmed the content of a table at `read_at`, to this VM or to one
+    /// whose view it received.
+    pub(in crate::relay) fn record_table_read(&self, table: &'static str, read_at: Time) {
         let mut reads = self.table_reads.borrow_mut();
-        reads.retain(|(name, _)| *name != table);
-        reads.push((table, clock::now()));
+        match reads.iter_mut().find(|(name, _)| *name == table) {
+            Some((_, newest)) => *newest = read_at.max(*newest),
+            None => reads.push((table, read_at)),
+        }
     }
 
-    /// Returns the time at which the content of a table was last received.
+    /// Returns the time at which the store last confirmed the content of a table.
     pub(in crate::relay) fn table_read_at(&self, table: &str) -> Option<Time> {
         let reads = self.table_reads.borrow();
         reads.iter().find(|(name, _)| *name == table).map(|it| it.1)
--- a/chervildrift_core/src/relay/cached_view.rs
+++ b/chervildrift_core/src/relay/cached_view.rs
@@ -58,11 +58,24 @@
     pub ejections: Vec<EjectionNews>,
 }
 
+/// Times since the store, or another VM on its behalf, last confirmed what a VM knows, in
+/// milliseconds; `None` if it never has.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ContentAges {
+    /// Age of the routes.
+    pub routes: Option<u64>,
+    /// Age of the upstreams' entries.
+    pub entries: Option<u64>,
+}
+
 /// Cached state of a VM, sent to other VMs on request.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct CachedView {
     /// Whether the VM can currently read the store itself.
     pub current: bool,
+    /// Ages of the routes and the upstreams.
+    #[serde(default)]
+    pub ages: ContentAges,
     /// Whether the VM renews the presence record of the requesting one.
     #[serde(default)]
     pub renews: bool,
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -29,7 +29,7 @@
 mod upstream_limit;
 
 pub use self::admission::{PROBE_KIND, admission_policy, fallback_kind};
-pub use self::cached_view::{CachedView, LeaderStatus, Peer, ViewRequest, digest};
+pub use self::cached_view::{CachedView, ContentAges, LeaderStatus, Peer, ViewRequest, digest};
 pub use self::choice::{Candidate, choose_upstream};
 pub use self::code::Code;
 pub use self::connection_cache::{
