Read a table that observers haven't confirmed in time

Callers of a VM that receives views were served by an old configuration for as long as its observers got no answers for the table of the configuration but some for that of the upstreams.

Cause: a view counted as current as long as any call of its observer to the store was answered, and as new whatever the observer had read. Every stage of the way (feed, view, fallback to the store) had a timeout of its own, and none knew how much of the bound the stages before had used.

Change: a VM that receives views reads a table itself once its confirmed age leaves just the time for the check and one call (4.9 s of a bound of 6 s, 2.9 s of 4 s). The age is counted from the store's answer, so it covers all stages and also observers that are lost one after the other. While a VM receives confirmed views, its feed starts anew with a listing, since views may have brought newer rows than the feed would repeat.

--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use chervildrift_core::relay::{DirectoryEntry, StoreOutage, feed_wait};
+use chervildrift_core::relay::{DirectoryEntry, StoreOutage, feed_wait, unconfirmed_limit};
 use chervildrift_core::types::{Time, Upstream};
 use chervildrift_platform::catalog::{
     CONFIG_KEY, CONFIG_TABLE, UPSTREAM_TABLE, decode_entry, decode_routes,
@@ -45,8 +45,7 @@
 impl CallTiming {
     /// Returns the timing of a call that is sent now, after a number of failures in a row.
     fn new(node: &Node, table: &str, failures: u32) -> Self {
-        let apply_bound = Duration::from_secs_f64(node.settings.apply_ms / 1_000.0);
-        let max_wait = feed_wait(apply_bound, lost_call_reaction());
+        let max_wait = feed_wait(apply_bound(node), lost_call_reaction());
         let now = clock::now();
         // Longer outages count as this long, so that an upstream that began to leave after one is not
         // taken for one that has left.
@@ -74,7 +73,10 @@
     let mut feed_version = None;
     let mut failures: u32 = 0;
     loop {
-        if !may_read(&node) {
+        let follows_store = may_read(&node);
+        if !follows_store && !is_unconfirmed(&node, table) {
+            // The table is listed again, since views may have brought newer rows than a feed repeats.
+            feed_version = None;
             let is_settled = node.is_settled();
             let pause = if is_settled {
                 ROLE_CHECK_INTERVAL
@@ -107,8 +109,10 @@
                     .store_calls
                     .with_label_values(&[table, "failed"])
                     .inc();
-                let due = sent_at + timing.wait;
-                node.update_outage(|outage| outage.record_failure(clock::now(), due));
+                if follows_store {
+                    let due = sent_at + timing.wait;
+                    node.update_outage(|outage| outage.record_failure(clock::now(), due));
+                }
                 if failures == 0 {
                     warn!(node.log, "store unavailable"; "event" => "store", "table" => table,
                         "error" => %err,
@@ -133,6 +137,22 @@
     own_view.max(other_view)
 }
 
+/// Returns the time within which a change must be in force.
+fn apply_bound(node: &Node) -> Duration {
+    Duration::from_secs_f64(node.settings.apply_ms / 1_000.0)
+}
+
+/// Returns whether a VM that receives the views of observers has to read a table itself, since they
+/// haven't confirmed its content for so long that a change might come too late.
+fn is_unconfirmed(node: &Node, table: &str) -> bool {
+    let bound = apply_bound(node);
+    let usual_age = feed_wait(bound, lost_call_reaction()) + view::MAX_VIEW_DELAY;
+    let read_time = ROLE_CHECK_INTERVAL + Timeouts::default().request;
+    let limit = unconfirmed_limit(bound, read_time, usual_age);
+    let read_at = node.table_read_at(table);
+    read_at.is_some_and(|at| clock::now().since(at) >= limit)
+}
+
 /// Returns the maximum time for which one lost call may hide a change.
 fn max_unseen_time(wait: Duration) -> Duration {
     let timeout = Timeouts::default().request;
--- a/chervildrift/src/relay/fleet/view.rs
+++ b/chervildrift/src/relay/fleet/view.rs
@@ -250,10 +250,19 @@
         let Some(address) = others.get(round % others.len().max(1)) else {
             continue;
         };
+        let sent_at = clock::now();
         let view = request_view(&node, *address, own_parts(&node), VIEW_TIMEOUT).await;
-        if let Some(routes) = view.and_then(|it| it.routes) {
+        let Some(view) = view else {
+            continue;
+        };
+        if let Some(routes) = view.routes {
             node.apply_routes(routes, RouteSource::Peer);
         }
+        let ages = ContentAges {
+            entries: None,
+            ..view.ages
+        };
+        record_ages(&node, ages, sent_at);
     }
 }
 
@@ -272,13 +281,16 @@
         }
         round += 1;
         let address = others[round % others.len()];
+        let sent_at = clock::now();
         let request = own_parts(&node);
         let Some(view) = request_view(&node, address, request, VIEW_TIMEOUT).await else {
             continue;
         };
+        let ages = view.ages;
         let is_useful = view.current || !node.upstreams_listed.get();
         if is_useful && node.is_store_unavailable(STORE_OUTAGE_THRESHOLD) {
             apply_store_content(&node, view);
+            record_ages(&node, ages, sent_at);
         }
     }
 }
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -40,7 +40,7 @@
     Authority, ElectionAction, ElectionState, Lease, ORDER_WINDOW, PROMOTION_DURATION, Vote,
     decide_election,
 };
-pub use self::feed_wait::feed_wait;
+pub use self::feed_wait::{feed_wait, unconfirmed_limit};
 pub use self::group::{
     FenceState, Group, MinPosition, ReplicationState, SessionCommit, fence_timeout,
 };
--- a/chervildrift_core/tests/relay_feeds.rs
+++ b/chervildrift_core/tests/relay_feeds.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chervildrift_core::relay::{StoreOutage, feed_wait};
+use chervildrift_core::relay::{StoreOutage, feed_wait, unconfirmed_limit};
 use chervildrift_core::types::Time;
 
 /// Guards against a wait that leaves no time to notice a lost call and to pass on the change.
@@ -21,6 +21,23 @@
     assert_eq!(wait, Duration::from_millis(500));
 }
 
+/// Guards against a VM that reads a table itself too late for a change that its observers missed.
+#[test]
+fn unconfirmed_content() {
+    let (read_time, usual_age) = (Duration::from_millis(1_100), Duration::from_millis(1_900));
+    for bound in [4_000, 6_000, 60_000].map(Duration::from_millis) {
+        let limit = unconfirmed_limit(bound, read_time, usual_age);
+        assert_eq!(limit + read_time, bound);
+    }
+}
+
+/// Guards against VMs that all read the store in usual times, where the bound is short.
+#[test]
+fn usual_content() {
+    let (read_time, usual_age) = (Duration::from_millis(1_100), Duration::from_millis(1_900));
+    assert!(unconfirmed_limit(Duration::from_millis(500), read_time, usual_age) > usual_age);
+}
+
 /// Guards against a VM that takes a silent store for available after a lost call, since the outage
 /// counts only from the time at which the call was given up.
 #[test]
--- a/chervildrift_standin/src/deployment/http.rs
+++ b/chervildrift_standin/src/deployment/http.rs
@@ -58,13 +58,22 @@
     let table = query.get("table").map_or("", String::as_str);
     let number_param = |name: &str| query.get(name).and_then(|it| it.parse().ok()).unwrap_or(0);
     match (&parts.method, parts.uri.path()) {
-        (&Method::GET, "/v1/rows-get") => Ok(reply(StatusCode::OK, Some(handle.store.list(table)))),
+        (&Method::GET, "/v1/rows-get") => {
+            let listing = handle.store.list(table);
+            if handle.is_muted(table) {
+                std::future::pending::<()>().await;
+            }
+            Ok(reply(StatusCode::OK, Some(listing)))
+        }
         (&Method::GET, "/v1/rows-feed") => {
             let wait = Duration::from_millis(number_param("wait_ms"));
             let changes = handle.store.feed(table, number_param("after"), wait).await;
             let status = changes
                 .as_ref()
                 .map_or(StatusCode::GONE, |_| StatusCode::OK);
+            if handle.is_muted(table) {
+                std::future::pending::<()>().await;
+            }
             Ok(reply(status, changes))
         }
         (&Method::POST, "/v1/rows-tx") => {
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -10,7 +10,7 @@
 mod store;
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -57,6 +57,8 @@
     pub store: Arc<Store>,
     /// Databases of the service.
     pub databases: Arc<DatabaseGroup>,
+    /// Table whose reads at this address get no response.
+    muted_table: Arc<Mutex<Option<&'static str>>>,
 }
 
 /// Starts a deployment on the runtime of the caller.
@@ -85,6 +87,7 @@
         address: listener.local_addr()?,
         store,
         databases,
+        muted_table: Arc::default(),
     };
     let shared = handle.clone();
     tokio::spawn(async move {
@@ -101,6 +104,26 @@
         serve_store(Arc::new(Store::default()), Arc::clone(&self.databases)).await
     }
 
+    /// Serves the same store at another address, at which reads can be muted apart.
+    pub async fn with_own_address(&self) -> std::io::Result<Self> {
+        serve_store(Arc::clone(&self.store), Arc::clone(&self.databases)).await
+    }
+
+    /// Leaves reads of a table at this address without a response, also those that wait already.
+    pub fn mute_reads(&self, table: &'static str) {
+        *self.lock_muted() = Some(table);
+    }
+
+    fn is_muted(&self, table: &str) -> bool {
+        *self.lock_muted() == Some(table)
+    }
+
+    fn lock_muted(&self) -> MutexGuard<'_, Option<&'static str>> {
+        self.muted_table
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the store rows of all databases with their ids.
     #[must_use]
     pub fn server_rows(&self) -> Vec<(String, serde_json::Value)> {
