Promise renewals of presence records only while they succeed

A VM that receives views would count as lost 25 s after its observers could no longer read the table of the presence records, though it was running: the others would take its share of the connections to upstreams.

Cause: a view promised the renewal of its receiver's record whenever its sender was an observer, whatever came of its own calls.

Change: an observer promises renewals for 10 s from the start of its last successful round. A record is 6 s old at most when a round leaves it out, so a VM that then looks after its record itself does so before 25 s.

--- a/chervildrift/src/relay/fleet/presence.rs
+++ b/chervildrift/src/relay/fleet/presence.rs
@@ -38,6 +38,10 @@
 /// Interval at which a VM checks that an observer still renews its record.
 const COVER_CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Time since the last renewals from which an observer doesn't promise any; leaves the VMs time to
+/// renew their records themselves before these expire.
+const PROMISE_LIMIT: Duration = RENEWAL_INTERVAL.saturating_add(Duration::from_secs(2));
+
 /// Maximum number of records in one call; the store accepts 100 entries, two for each record.
 const MAX_BATCH: usize = 45;
 
@@ -116,6 +120,7 @@
         node.apply_peers(peers);
     }
     renew_records(node, &listing, read_at).await?;
+    node.renewal_at.set(Some(read_at));
     if node.is_observer() {
         leases::maintain_leases(node, &listing).await;
         check_fences(node).await;
@@ -203,7 +208,9 @@
     let mut heard = node.heard_at.borrow_mut();
     heard.retain(|_, at| now.since(*at) < HEARD_TTL);
     heard.insert(vm.clone(), now);
-    node.is_observer() && node.peers.borrow().iter().any(|it| it.vm == *vm)
+    let renewal_at = node.renewal_at.get();
+    let is_renewing = renewal_at.is_some_and(|at| now.since(at) < PROMISE_LIMIT);
+    is_renewing && node.is_observer() && node.peers.borrow().iter().any(|it| it.vm == *vm)
 }
 
 /// Returns whether other VMs have been running for a while.
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -97,6 +97,8 @@
     pub presence_lock: Mutex<()>,
     /// Time at which an observer last said that it renews this VM's presence record.
     pub renewed_at: Cell<Option<Time>>,
+    /// Time at which this VM last listed the presence records and renewed those that were due.
+    pub renewal_at: Cell<Option<Time>>,
     /// Times at which other VMs last requested a view and the renewal of their presence records.
     pub heard_at: RefCell<HashMap<Vm, Time>>,
     /// Links to other VMs.
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -112,6 +112,7 @@
         presence_due: Notify::new(),
         presence_lock: Mutex::default(),
         renewed_at: Cell::default(),
+        renewal_at: Cell::default(),
         heard_at: RefCell::default(),
         links: Rc::default(),
         loan_count: Cell::default(),
--- a/chervildrift/tests/relay_fleet/mod.rs
+++ b/chervildrift/tests/relay_fleet/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of the helpers")]
 
+pub mod gated;
+
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::process::{Child, ChildStdout, Command, Stdio};
@@ -29,6 +31,7 @@
 /// Relaying VM, which is killed when it is dropped.
 pub struct Vm {
     child: Child,
+    pub name: String,
     pub callers: SocketAddr,
     pub operators: SocketAddr,
     pub peers: SocketAddr,
@@ -106,8 +109,9 @@
         } else {
             "grace_s: 3\n"
         };
+        let vm = format!("vm-{number}");
         let text = format!(
-            "vm: vm-{number}\nzone: north\nregions: {{north: isle}}\ncallers: \"{callers}\"\n\
+            "vm: {vm}\nzone: north\nregions: {{north: isle}}\ncallers: \"{callers}\"\n\
              operators: \"{operators}\"\npeers: \"{peers}\"\nstore: \"{}\"\npromotions: \"{}\"\n{grace}{extra_settings}",
             self.store_address, self.platform.address
         );
@@ -116,6 +120,7 @@
         let output = output.into().unwrap_or_else(|| file.into());
         self.vms.push(Vm {
             child: spawn_relay(&settings, output),
+            name: vm,
             callers,
             operators,
             peers,
