Leave out a route that can't be decoded, not the whole configuration

Callers of all VMs would be served by the configuration before, for as long as the newest one holds a single route that this build can't read, for example with a consistency of a later version.

Cause: the list of routes was decoded as a whole. Odd organisations were left out one by one, but without a log line.

Evidence: odd_route failed before: unknown variant, expected one of primary, bounded, read_your_writes.

Change: routes and organisations are decoded by the same function, one by one. Those that are left out are logged once a version by their place, without their content, which may hold keys. Rules of services are still decoded as a whole: a service without its rules would lose its synchronous replicas.

--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -219,7 +219,14 @@
         return;
     };
     match decode_routes(value) {
-        Ok(routes) => node.apply_routes(routes, source),
+        Ok(decoded) => {
+            let is_newer = decoded.routes.version > node.routes.borrow().version();
+            for entry in decoded.odd.iter().filter(|_| is_newer) {
+                warn!(node.log, "invalid entry of the configuration left out"; "event" => "routes",
+                    "version" => decoded.routes.version, "entry" => %entry);
+            }
+            node.apply_routes(decoded.routes, source);
+        }
         Err(err) => {
             warn!(node.log, "invalid configuration"; "event" => "routes",
                 "row" => row.version, "error" => %err);
