Keep the sockets that connections to upstreams need from callers

Above the machine's limit no caller, no other VM and no call to the store gets a connection.

Cause: callers left a quarter of the sockets, three quarters of which other VMs may take. What was left for upstreams was never compared with the connections that the pools are allowed to open: 14 sockets for 57 on the tests' machine.

Change: the places of callers follow from the planned connections of all pools, whenever these change; if there are fewer than open sessions, the least worthy give way, never one whose statement is running. At 4,300 descriptors and up to 100 planned connections there are as many places as before.

--- a/chervildrift/src/relay/connections/pool.rs
+++ b/chervildrift/src/relay/connections/pool.rs
@@ -319,6 +319,11 @@
         self.idle.borrow_mut().retain(keep);
     }
 
+    /// Returns the number of connections that the plan allows.
+    pub(in crate::relay) fn planned_connections(&self) -> usize {
+        self.limit.get().share()
+    }
+
     /// Returns the number of connections that are open or being opened.
     pub(in crate::relay) fn open_connections(&self) -> usize {
         Rc::strong_count(&self.open_count) - 1
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -159,12 +159,14 @@
             pool.update_entry(&entry);
             if old.as_ref().is_some_and(|old| old.slots != entry.slots) {
                 pool.apply_plan(&self.placement(&entry).1);
+                self.reserve_sockets();
             }
         } else {
             let (holders, plan) = self.placement(&entry);
             let pool = Pool::new(entry.clone(), &plan);
             pool.set_holders(holders);
             self.pools.borrow_mut().insert(entry.upstream.clone(), pool);
+            self.reserve_sockets();
         }
         let has_changed =
             old.is_none_or(|old| old.role != entry.role || old.draining != entry.draining);
@@ -218,6 +220,9 @@
                 group.clear_leader(upstream);
             }
         }
+        if !removed.is_empty() {
+            self.reserve_sockets();
+        }
     }
 
     /// Makes the upstream that reports itself as primary the leader, unless the current leader
@@ -425,6 +430,16 @@
                 pool.apply_plan(&plan);
             }
         }
+        self.reserve_sockets();
+    }
+
+    /// Keeps the sockets that the planned connections to upstreams need from callers.
+    fn reserve_sockets(&self) {
+        let pools = self.pools.borrow();
+        let planned = pools.values().map(|pool| pool.planned_connections()).sum();
+        drop(pools);
+        let places = self.settings.limits.sessions_beside(planned);
+        self.seats.set_places(places);
     }
 
     /// Returns the holders of an upstream and the plan for this VM's connections to it.
--- a/chervildrift/src/relay/sessions/seats.rs
+++ b/chervildrift/src/relay/sessions/seats.rs
@@ -50,7 +50,7 @@
     taken: RefCell<HashMap<SessionId, Rc<Withdrawal>>>,
     /// Number of sessions that have not ended, including those whose seats were taken away.
     open: Cell<usize>,
-    max_open: usize,
+    max_open: Cell<usize>,
     /// Wakes a session that waits for memory.
     freed: Notify,
     /// Wakes the listener when a session has ended.
@@ -94,7 +94,7 @@
             budget: RefCell::new(SessionBudget::new(limits.bounds())),
             taken: RefCell::default(),
             open: Cell::default(),
-            max_open: limits.sessions(),
+            max_open: Cell::new(limits.sessions()),
             freed: Notify::new(),
             ended: Notify::new(),
         })
@@ -105,7 +105,7 @@
     pub(in crate::relay) async fn take(self: &Rc<Self>) -> Option<Seat> {
         loop {
             // The descriptor of a withdrawn seat is free only when its session has ended.
-            while self.open.get() >= self.max_open
+            while self.open.get() >= self.max_open.get()
                 && self.open.get() > self.budget.borrow().sessions()
             {
                 self.ended.notified().await;
@@ -129,6 +129,15 @@
         }
     }
 
+    /// Changes the maximum number of sessions; the least worthy ones beyond it are closed.
+    pub(in crate::relay) fn set_places(&self, places: usize) {
+        self.max_open.set(places);
+        let removed = self.budget.borrow_mut().set_places(places);
+        for id in removed {
+            self.withdraw(id, CloseCause::Place);
+        }
+    }
+
     /// Takes the memory of the least worthy holder; returns false if no session gives way.
     fn withdraw_memory(&self) -> bool {
         let holder = self.budget.borrow().least_worthy_holder();
--- a/chervildrift/tests/unruly_callers.rs
+++ b/chervildrift/tests/unruly_callers.rs
@@ -248,6 +248,20 @@
     .await;
 }
 
+/// Guards against a process that runs out of descriptors, since callers take those that its
+/// connections to upstreams need.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn full_pools() {
+    check_relay(LARGE_CROWD, |address, _| async move {
+        let mut stream = open(address).await?;
+        loop {
+            send(&mut stream, b"QUERY id READ item\r\n").await?;
+            read_until(&mut stream, "READY I -\r\n").await?;
+        }
+    })
+    .await;
+}
+
 /// Guards against a VM that serves HTTP and runs out of memory, or answers no one any more, under
 /// the same crowds one after another.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
--- a/chervildrift_core/src/config/caller_limits.rs
+++ b/chervildrift_core/src/config/caller_limits.rs
@@ -20,6 +20,9 @@
 /// Descriptors that the platform keeps for files.
 const FILE_RESERVE: usize = 200;
 
+/// Sockets for listeners, signals, the store and operators.
+const OWN_SOCKETS: usize = 32;
+
 /// Limits on callers of a relaying VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -113,6 +116,14 @@
         self.sessions.unwrap_or(self.sockets() / 4 * 3)
     }
 
+    /// Returns the maximum number of open sessions beside as many connections to upstreams.
+    #[must_use]
+    pub fn sessions_beside(&self, upstream_connections: usize) -> usize {
+        let reserve = self.peers() + OWN_SOCKETS + upstream_connections;
+        let rest = self.sockets().saturating_sub(reserve);
+        self.sessions().min(rest).max(1)
+    }
+
     /// Returns the maximum number of connections that other VMs may have open.
     ///
     /// A quarter of what callers can't use is left for upstreams, the store and operators.
--- a/chervildrift_core/src/limit/session_budget.rs
+++ b/chervildrift_core/src/limit/session_budget.rs
@@ -10,6 +10,8 @@
 
 use std::collections::HashMap;
 
+use smallvec::SmallVec;
+
 use crate::types::Time;
 
 /// Identifier of a session, unique in its process.
@@ -86,6 +88,20 @@
         }
     }
 
+    /// Changes the maximum number of sessions; returns those that give their places up.
+    pub fn set_places(&mut self, places: usize) -> SmallVec<[SessionId; 8]> {
+        self.bounds.sessions = places;
+        let mut removed = SmallVec::new();
+        while self.sessions.len() > places
+            && let Admission::After(id) =
+                self.find_place(|entry| entry.standing < Standing::Running)
+        {
+            self.remove(id);
+            removed.push(id);
+        }
+        removed
+    }
+
     /// Gives a new session a place.
     pub fn admit(&mut self, now: Time) -> Admission {
         if self.unidentified >= self.bounds.unidentified {
--- a/chervildrift_core/src/relay/upstream_limit.rs
+++ b/chervildrift_core/src/relay/upstream_limit.rs
@@ -44,6 +44,12 @@
         }
     }
 
+    /// Returns the connections that the VM is entitled to.
+    #[must_use]
+    pub const fn share(&self) -> usize {
+        self.share
+    }
+
     /// Returns the current limit.
     #[must_use]
     pub const fn get(&self) -> usize {
--- a/chervildrift_core/tests/caller_limits.rs
+++ b/chervildrift_core/tests/caller_limits.rs
@@ -1,6 +1,6 @@
 //! Limits on the callers of a relaying VM.
 
-use chervildrift_core::config::check_relay_settings;
+use chervildrift_core::config::{CallerLimits, check_relay_settings};
 
 const SETTINGS: &str = "{vm: vm-1, zone: north, callers: \"127.0.0.1:1\", operators: \
                         \"127.0.0.1:2\", peers: \"127.0.0.1:3\", store: \"127.0.0.1:4\", limits: \
@@ -50,3 +50,19 @@
     }
     assert!(problems("message_ms: 1, unread_ms: 1, sent_ahead: 0").len() >= 3);
 }
+
+/// Guards against callers and other VMs that leave fewer sockets than connections to upstreams may
+/// take, and against a reserve that costs places where there are sockets enough.
+#[test]
+fn upstream_reserve() {
+    for (file_descriptors, planned) in [(400, 57), (4_300, 100), (8_192, 1_000)] {
+        let limits = CallerLimits {
+            file_descriptors,
+            ..CallerLimits::default()
+        };
+        let taken = limits.sessions_beside(planned) + limits.peers() + planned;
+        assert!(taken < limits.sockets(), "{taken} of {file_descriptors}");
+    }
+    let limits = CallerLimits::default();
+    assert_eq!(limits.sessions_beside(100), limits.sessions());
+}
--- a/chervildrift_core/tests/session_budget.rs
+++ b/chervildrift_core/tests/session_budget.rs
@@ -20,6 +20,8 @@
     Standing(usize, Standing),
     /// The holder that is least worthy gives its memory up.
     MakeRoom,
+    /// The number of places changes.
+    Places(usize),
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
@@ -34,6 +36,7 @@
         6 => (0_usize..8, 0_usize..150).prop_map(|(at, bytes)| Step::Resize(at, bytes)),
         3 => (0_usize..8, standing).prop_map(|(at, it)| Step::Standing(at, it)),
         2 => Just(Step::MakeRoom),
+        1 => (0..=BOUNDS.sessions).prop_map(Step::Places),
     ];
     prop::collection::vec(step, 1..200)
 }
@@ -99,6 +102,14 @@
                         prop_assert!(bytes > BOUNDS.session_bytes);
                     }
                 }
+                Step::Places(places) => {
+                    for id in budget.set_places(places) {
+                        let at = known.iter().position(|it| it.0 == id).expect("an open session");
+                        prop_assert_ne!(known.remove(at).2, Standing::Running);
+                    }
+                    let gives_way = |it: &(_, _, Standing)| it.2 != Standing::Running;
+                    prop_assert!(known.len() <= places || !known.iter().any(gives_way));
+                }
                 Step::Leave(_) | Step::Resize(..) | Step::Standing(..) => {}
             }
             let held: usize = known.iter().map(|it| it.1).sum();
