Limit the links on which statements borrow connections

A crowd of callers at a VM that holds no connections to a database itself could take the descriptors of the process: each statement opened a link to a holder, beside the socket of its caller.

Cause: links were counted nowhere. The places of callers left room for other VMs' connections to this one, but not for its own to them.

Change: on a VM that borrows, a quarter of what callers could use is for links. Statements and transactions take a permit and wait for it until their deadline; idle links beyond the limit are closed, the longest idle one first. Links of the VM's own tasks, such as views and votes, need no permit. A statement is refused, with nothing run, only if no link is free until its deadline.

--- a/chervildrift/src/relay/connections/checkout.rs
+++ b/chervildrift/src/relay/connections/checkout.rs
@@ -112,6 +112,11 @@
                 Err(RemoteError::Refused(LinkRefusal::Connection(err))) => {
                     return Err(CheckoutError::Connection(err));
                 }
+                Err(err @ RemoteError::NoLink) => {
+                    node.metrics.count_holder_failure(&err);
+                    let failure = busy(upstream, "all links are in use", Duration::ZERO);
+                    return Err(CheckoutError::Refused(failure));
+                }
                 Err(err) => {
                     is_reachable |= matches!(err, RemoteError::Refused(_));
                     node.metrics.count_holder_failure(&err);
--- a/chervildrift/src/relay/connections/remote.rs
+++ b/chervildrift/src/relay/connections/remote.rs
@@ -15,8 +15,8 @@
 use crate::relay::connections::connection::{ConnectionError, Reply};
 use crate::relay::connections::pool::AcquireRequest;
 use crate::relay::fleet::link::{
-    AcquireMessage, Link, LinkCommand, LinkRefusal, LinkRequest, LinkResponse, Links, RunMessage,
-    SessionState,
+    AcquireMessage, Link, LinkCommand, LinkPermit, LinkRefusal, LinkRequest, LinkResponse, Links,
+    RunMessage, SessionState,
 };
 
 /// Timeout for the first response to a request; a VM that queues it says so at once.
@@ -28,6 +28,8 @@
 /// Reason why another VM provided no connection; nothing was sent to the upstream.
 #[derive(Debug)]
 pub(in crate::relay) enum RemoteError {
+    /// All links that statements may use were in use until the deadline.
+    NoLink,
     /// The VM gave no response.
     Unreachable,
     /// The VM refused the request.
@@ -41,6 +43,7 @@
     address: SocketAddr,
     /// Link to the VM, until the connection is returned or has failed.
     link: Option<Link>,
+    permit: Option<LinkPermit>,
     state: TransactionState,
     completion: Completion,
     /// Wait for a connection at the holder.
@@ -62,6 +65,9 @@
         first: Option<&FirstRun<'_>>,
     ) -> Result<Self, RemoteError> {
         let unreachable = |_err| RemoteError::Unreachable;
+        let patience = request.deadline.since(clock::now());
+        let permit = timeout(patience, links.permit()).await;
+        let permit = permit.map_err(|_elapsed| RemoteError::NoLink)?;
         let mut link = links.take(address).await.map_err(unreachable)?;
         let remaining = request.deadline.since(clock::now());
         let message = LinkRequest::Acquire(AcquireMessage {
@@ -86,10 +92,10 @@
             match response.map_err(|_elapsed| RemoteError::Unreachable)? {
                 Some(LinkResponse::Queued) => limit = remaining + run_limit + TRANSFER_TIME,
                 Some(LinkResponse::Granted(wait_ms)) => {
-                    return Ok(Self::new(links, address, link, wait_ms));
+                    return Ok(Self::new(links, address, link, permit, wait_ms));
                 }
                 Some(LinkResponse::Ran(ran)) => {
-                    let mut connection = Self::new(links, address, link, ran.wait_ms);
+                    let mut connection = Self::new(links, address, link, permit, ran.wait_ms);
                     connection.run_time = Some(Duration::from_millis(ran.run_ms));
                     match &ran.result {
                         Ok(replies) => connection.record_state(replies),
@@ -107,11 +113,18 @@
         }
     }
 
-    fn new(links: &Rc<Links>, address: SocketAddr, link: Link, wait_ms: u64) -> Self {
+    fn new(
+        links: &Rc<Links>,
+        address: SocketAddr,
+        link: Link,
+        permit: LinkPermit,
+        wait_ms: u64,
+    ) -> Self {
         Self {
             links: Rc::clone(links),
             address,
             link: Some(link),
+            permit: Some(permit),
             state: TransactionState::Idle,
             completion: Completion::Abandoned,
             holder_wait: Duration::from_millis(wait_ms),
@@ -203,7 +216,9 @@
             return;
         };
         let (links, address, completion) = (Rc::clone(&self.links), self.address, self.completion);
+        let permit = self.permit.take();
         tokio::task::spawn_local(async move {
+            let _permit = permit;
             // A link that fails here ends, which returns the connection as well.
             if link.send(&LinkRequest::Release(completion)).await.is_ok() {
                 links.put(address, link);
--- a/chervildrift/src/relay/fleet/link.rs
+++ b/chervildrift/src/relay/fleet/link.rs
@@ -4,9 +4,10 @@
 //! time, such as one connection to an upstream, so that its end tells the other VM that the purpose
 //! is gone.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use chervildrift_core::dispatch::Completion;
@@ -24,6 +25,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -49,6 +51,9 @@
 /// Number of unanswered keepalive probes after which a link counts as dead.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Links of the VM's own tasks, such as views and votes, beside those of statements.
+const OWN_LINKS: usize = 16;
+
 /// Message to another VM.
 #[derive(Debug, Deserialize, Serialize)]
 pub(in crate::relay) enum LinkRequest {
@@ -273,6 +278,8 @@
 pub(in crate::relay) struct Link {
     framed: Framed<TcpStream, LineCodec>,
     last_used: Time,
+    /// Counts the links that this VM has opened, by its references.
+    _open: Option<Rc<()>>,
 }
 
 impl Link {
@@ -281,16 +288,20 @@
         Self {
             framed,
             last_used: clock::now(),
+            _open: None,
         }
     }
 
     /// Connects to another VM.
-    async fn connect(address: SocketAddr) -> std::io::Result<Self> {
+    async fn connect(address: SocketAddr, open: Rc<()>) -> std::io::Result<Self> {
         let connect = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connect.map_err(std::io::Error::from)??;
         configure(&stream)?;
         let codec = LineCodec::new(MESSAGE_END, MAX_MESSAGE_BYTES);
-        Ok(Self::new(Framed::new(stream, codec)))
+        Ok(Self {
+            _open: Some(open),
+            ..Self::new(Framed::new(stream, codec))
+        })
     }
 
     /// Sends a message.
@@ -316,14 +327,69 @@
     }
 }
 
-/// Links to other VMs that are idle, and VMs that gave no response.
-#[derive(Debug, Default)]
+/// Right to use a link for a statement or transaction, until it is dropped.
+#[derive(Debug)]
+pub(in crate::relay) struct LinkPermit {
+    links: Rc<Links>,
+}
+
+impl Drop for LinkPermit {
+    fn drop(&mut self) {
+        let links = &self.links;
+        links.in_use.set(links.in_use.get() - 1);
+        links.returned.notify_one();
+    }
+}
+
+/// Links that this VM has opened to others, and VMs that gave no response.
+#[derive(Debug)]
 pub(in crate::relay) struct Links {
     idle: RefCell<HashMap<SocketAddr, Vec<Link>>>,
     failures: RefCell<HashMap<SocketAddr, Time>>,
+    /// Number of links, idle and in use, as the reference count.
+    open: Rc<()>,
+    /// Maximum number of statements and transactions that use links.
+    max_statements: Cell<usize>,
+    /// Number of statements and transactions that use links.
+    in_use: Cell<usize>,
+    /// Wakes a statement that waits for a link.
+    returned: Notify,
 }
 
 impl Links {
+    /// Creates an empty set that is used by up to `max_statements` at a time.
+    pub(in crate::relay) fn new(max_statements: usize) -> Rc<Self> {
+        Rc::new(Self {
+            idle: RefCell::default(),
+            failures: RefCell::default(),
+            open: Rc::default(),
+            max_statements: Cell::new(max_statements),
+            in_use: Cell::default(),
+            returned: Notify::new(),
+        })
+    }
+
+    /// Changes the maximum number of statements and transactions that use links.
+    pub(in crate::relay) fn set_max_statements(&self, count: usize) {
+        self.max_statements.set(count);
+        self.returned.notify_one();
+    }
+
+    /// Waits until a statement may use a link.
+    pub(in crate::relay) async fn permit(self: &Rc<Self>) -> LinkPermit {
+        while self.in_use.get() >= self.max_statements.get() {
+            self.returned.notified().await;
+        }
+        self.in_use.set(self.in_use.get() + 1);
+        if self.in_use.get() < self.max_statements.get() {
+            // There may be room for the next one too.
+            self.returned.notify_one();
+        }
+        LinkPermit {
+            links: Rc::clone(self),
+        }
+    }
+
     /// Takes an idle link to a VM, or opens one.
     pub(in crate::relay) async fn take(&self, address: SocketAddr) -> std::io::Result<Link> {
         while let Some(link) = self.pop_idle(address) {
@@ -331,15 +397,43 @@
                 return Ok(link);
             }
         }
-        Link::connect(address).await
+        while self.open_links() >= self.max_links() && self.close_idle() {}
+        Link::connect(address, Rc::clone(&self.open)).await
     }
 
     fn pop_idle(&self, address: SocketAddr) -> Option<Link> {
         self.idle.borrow_mut().get_mut(&address)?.pop()
     }
 
-    /// Keeps a link for later use.
+    /// Closes the link that has been idle for longest; returns false if none is idle.
+    fn close_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        // The links of one VM are used from the end.
+        let oldest = idle
+            .iter()
+            .filter_map(|(address, links)| Some((links.first()?.last_used, *address)))
+            .min();
+        let links = oldest.and_then(|(_, address)| idle.get_mut(&address));
+        links.is_some_and(|links| {
+            links.remove(0);
+            true
+        })
+    }
+
+    /// Returns the number of links that are open or being opened.
+    fn open_links(&self) -> usize {
+        Rc::strong_count(&self.open) - 1
+    }
+
+    fn max_links(&self) -> usize {
+        self.max_statements.get().saturating_add(OWN_LINKS)
+    }
+
+    /// Keeps a link for later use, unless there are too many.
     pub(in crate::relay) fn put(&self, address: SocketAddr, link: Link) {
+        if self.open_links() > self.max_links() {
+            return;
+        }
         let mut idle = self.idle.borrow_mut();
         idle.entry(address).or_default().push(link);
     }
--- a/chervildrift/src/relay/metrics.rs
+++ b/chervildrift/src/relay/metrics.rs
@@ -337,6 +337,7 @@
     /// Counts a holder that provided no connection.
     pub(in crate::relay) fn count_holder_failure(&self, err: &RemoteError) {
         let reason = match err {
+            RemoteError::NoLink => "no_link",
             RemoteError::Unreachable => "unreachable",
             RemoteError::Refused(LinkRefusal::Stopping) => "stopping",
             RemoteError::Refused(_) => "not_holder",
--- a/chervildrift/src/relay/node.rs
+++ b/chervildrift/src/relay/node.rs
@@ -433,13 +433,20 @@
         self.reserve_sockets();
     }
 
-    /// Keeps the sockets that the planned connections to upstreams need from callers.
+    /// Keeps the sockets that the planned connections to upstreams need from callers and their
+    /// statements.
     fn reserve_sockets(&self) {
         let pools = self.pools.borrow();
         let planned = pools.values().map(|pool| pool.planned_connections()).sum();
+        // Organisations spread over holders, so that each VM borrows for most of them.
+        let borrows = self.routes.borrow().organisations().is_some()
+            || pools
+                .values()
+                .any(|pool| !pool.holders().is_holder(&self.settings.vm));
+        let shares = self.settings.limits.socket_shares(planned, borrows);
         drop(pools);
-        let places = self.settings.limits.sessions_beside(planned);
-        self.seats.set_places(places);
+        self.seats.set_places(shares.sessions);
+        self.links.set_max_statements(shares.links);
     }
 
     /// Returns the holders of an upstream and the plan for this VM's connections to it.
--- a/chervildrift/src/relay/start.rs
+++ b/chervildrift/src/relay/start.rs
@@ -21,6 +21,7 @@
 use crate::http::{self, OperatorEndpoints};
 use crate::relay::Error;
 use crate::relay::clock;
+use crate::relay::fleet::link::Links;
 use crate::relay::fleet::peers;
 use crate::relay::fleet::presence;
 use crate::relay::fleet::store_feed;
@@ -97,6 +98,7 @@
         log_quotas: LogQuotas::full(),
         quotas: Quotas::new(&settings),
         seats: Seats::new(&settings.limits),
+        links: Links::new(settings.limits.socket_shares(0, true).links),
         large_replies: Arc::new(Semaphore::new(settings.limits.large_replies())),
         settings,
         directory: RefCell::new(Directory::new(drain)),
@@ -114,7 +116,6 @@
         renewed_at: Cell::default(),
         renewal_at: Cell::default(),
         heard_at: RefCell::default(),
-        links: Rc::default(),
         loan_count: Cell::default(),
         polled_replicas: RefCell::default(),
         outage: Cell::default(),
--- a/chervildrift/tests/unruly_callers.rs
+++ b/chervildrift/tests/unruly_callers.rs
@@ -45,6 +45,18 @@
 /// Data of a large HTTP request; its body is within the limit of 256 KiB.
 const HTTP_BYTES: usize = 250 << 10;
 
+/// Connections of a database that are too few for all VMs.
+const FEW_CONNECTIONS: usize = 6;
+
+/// VMs of a fleet of which most hold no connections to a database.
+const VMS: usize = 7;
+
+/// VMs with a crowd; at least one of them holds no connections to some database.
+const CROWDED_VMS: usize = 3;
+
+/// Time in which the VMs learn of each other.
+const SETTLE_TIME: Duration = Duration::from_secs(4);
+
 /// Time for which a crowd acts before the resources are checked.
 const CROWD_TIME: Duration = Duration::from_secs(5);
 
@@ -262,6 +274,40 @@
     .await;
 }
 
+/// Guards against processes that run out of descriptors under callers whose statements wait for
+/// connections that other VMs hold.
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn borrowed_connections() {
+    let _turn = TURN.lock().await;
+    let options = Options {
+        max_connections: FEW_CONNECTIONS,
+        ..Options::default()
+    };
+    let fleet = relay_fleet::Fleet::spawn_with(VMS, &options, RELAY_SETTINGS).await;
+    sleep(SETTLE_TIME).await;
+    let vms = &fleet.vms[..CROWDED_VMS];
+    let resources: Vec<_> = vms.iter().map(|it| Resources::observe(it.id())).collect();
+    let crowds = vms.iter().map(|vm| {
+        Crowd::spawn(CROWD, |_| {
+            let address = vm.callers;
+            async move {
+                let mut stream = open(address).await?;
+                loop {
+                    send(&mut stream, b"QUERY id READ item\r\n").await?;
+                    read_until(&mut stream, "READY I -\r\n").await?;
+                }
+            }
+        })
+    });
+    let crowds: Vec<Crowd> = crowds.collect();
+    sleep(CROWD_TIME).await;
+    for (vm, resources) in vms.iter().zip(&resources) {
+        let answered = await_answer(async || ordinary_request(vm.callers).await.is_some()).await;
+        resources.check(MEMORY_MB, SOCKETS, answered);
+    }
+    drop(crowds);
+}
+
 /// Guards against a VM that serves HTTP and runs out of memory, or answers no one any more, under
 /// the same crowds one after another.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
--- a/chervildrift_core/src/config/caller_limits.rs
+++ b/chervildrift_core/src/config/caller_limits.rs
@@ -20,9 +20,22 @@
 /// Descriptors that the platform keeps for files.
 const FILE_RESERVE: usize = 200;
 
-/// Sockets for listeners, signals, the store and operators.
+/// Sockets for listeners, signals, the store, operators and the VM's own links to other VMs.
 const OWN_SOCKETS: usize = 32;
 
+/// Part of the sockets of callers that is for links to the VMs from which their statements borrow
+/// connections; the statements of further sessions wait for a link.
+const LINK_DIVISOR: usize = 4;
+
+/// Sockets that callers and their statements may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SocketShares {
+    /// Maximum number of open sessions.
+    pub sessions: usize,
+    /// Maximum number of statements and transactions on borrowed connections.
+    pub links: usize,
+}
+
 /// Limits on callers of a relaying VM.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields, default)]
@@ -116,12 +129,18 @@
         self.sessions.unwrap_or(self.sockets() / 4 * 3)
     }
 
-    /// Returns the maximum number of open sessions beside as many connections to upstreams.
+    /// Returns the sockets for callers and their statements beside up to `upstream_connections`; a
+    /// VM that borrows connections needs links to other VMs for statements.
     #[must_use]
-    pub fn sessions_beside(&self, upstream_connections: usize) -> usize {
+    pub fn socket_shares(&self, upstream_connections: usize, borrows: bool) -> SocketShares {
         let reserve = self.peers() + OWN_SOCKETS + upstream_connections;
         let rest = self.sockets().saturating_sub(reserve);
-        self.sessions().min(rest).max(1)
+        let min_links = if borrows { rest / LINK_DIVISOR } else { 0 };
+        let sessions = self.sessions().min(rest - min_links).max(1);
+        SocketShares {
+            sessions,
+            links: rest.saturating_sub(sessions).max(1),
+        }
     }
 
     /// Returns the maximum number of connections that other VMs may have open.
--- a/chervildrift_core/src/config/mod.rs
+++ b/chervildrift_core/src/config/mod.rs
@@ -14,7 +14,7 @@
 mod settings;
 
 pub use self::bundle::Bundle;
-pub use self::caller_limits::CallerLimits;
+pub use self::caller_limits::{CallerLimits, SocketShares};
 pub use self::check::{Finding, check_operator_file, check_relay_settings, check_settings};
 pub use self::declaration::{
     Access, Declaration, GroupSpec, GuaranteedShares, KindSpec, Objective, Routing, UpstreamSpec,
--- a/chervildrift_core/tests/caller_limits.rs
+++ b/chervildrift_core/tests/caller_limits.rs
@@ -51,18 +51,28 @@
     assert!(problems("message_ms: 1, unread_ms: 1, sent_ahead: 0").len() >= 3);
 }
 
-/// Guards against callers and other VMs that leave fewer sockets than connections to upstreams may
-/// take, and against a reserve that costs places where there are sockets enough.
+/// Guards against callers, their statements and other VMs that leave fewer sockets than connections
+/// to upstreams may take.
 #[test]
 fn upstream_reserve() {
     for (file_descriptors, planned) in [(400, 57), (4_300, 100), (8_192, 1_000)] {
-        let limits = CallerLimits {
-            file_descriptors,
-            ..CallerLimits::default()
-        };
-        let taken = limits.sessions_beside(planned) + limits.peers() + planned;
-        assert!(taken < limits.sockets(), "{taken} of {file_descriptors}");
+        for borrows in [false, true] {
+            let limits = CallerLimits {
+                file_descriptors,
+                ..CallerLimits::default()
+            };
+            let shares = limits.socket_shares(planned, borrows);
+            let taken = shares.sessions + shares.links + limits.peers() + planned;
+            assert!(taken < limits.sockets(), "{taken} of {file_descriptors}");
+            assert!(!borrows || shares.links >= shares.sessions / 4);
+        }
     }
+}
+
+/// Guards against a reserve that costs places where there are sockets enough.
+#[test]
+fn ample_sockets() {
     let limits = CallerLimits::default();
-    assert_eq!(limits.sessions_beside(100), limits.sessions());
+    let shares = limits.socket_shares(100, false);
+    assert_eq!(shares.sessions, limits.sessions());
 }
