--- a/chervildrift/tests/relay_presence.rs
+++ b/chervildrift/tests/relay_presence.rs
@@ -2,12 +2,19 @@
 
 mod relay_fleet;
 
+use std::time::Duration;
+
+use tokio::time::sleep;
+
 use relay_fleet::await_true;
 use relay_fleet::gated::GatedFleet;
 
 /// Table of the records.
 const PRESENCE_TABLE: &str = "chervildrift";
 
+/// Time in which a renewal that has begun ends.
+const CALL_TIME: Duration = Duration::from_secs(2);
+
 /// Returns the store's time of the newest renewal of the follower's record.
 fn renewal_time(gated: &GatedFleet) -> Option<u64> {
     let key = format!("vm/{}", gated.follower().name);
@@ -22,6 +29,7 @@
 async fn broken_promise() {
     let gated = GatedFleet::spawn().await;
     gated.mute_observers(PRESENCE_TABLE);
+    sleep(CALL_TIME).await;
     let last = renewal_time(&gated);
     // Records expire after 25 s; this waits for 20 s.
     await_true("renewal", async || renewal_time(&gated) > last).await;
--- a/chervildrift_standin/src/deployment/mod.rs
+++ b/chervildrift_standin/src/deployment/mod.rs
@@ -114,6 +114,11 @@
         *self.lock_muted() = Some(table);
     }
 
+    /// Answers the reads of all tables at this address again.
+    pub fn unmute_reads(&self) {
+        *self.lock_muted() = None;
+    }
+
     fn is_muted(&self, table: &str) -> bool {
         *self.lock_muted() == Some(table)
     }
