--- a/chervildrift/src/relay/fleet/store_feed.rs
+++ b/chervildrift/src/relay/fleet/store_feed.rs
@@ -218,11 +218,12 @@
     let Some(value) = row.value.as_deref().filter(|_| row.key == CONFIG_KEY) else {
         return;
     };
-    match decode_routes(value) {
+    let decoded = decode_routes(value, node.routes.borrow().current());
+    match decoded {
         Ok(decoded) => {
             let is_newer = decoded.routes.version > node.routes.borrow().version();
             for entry in decoded.odd.iter().filter(|_| is_newer) {
-                warn!(node.log, "invalid entry of the configuration left out"; "event" => "routes",
+                warn!(node.log, "invalid entry of the configuration"; "event" => "routes",
                     "version" => decoded.routes.version, "entry" => %entry);
             }
             node.apply_routes(decoded.routes, source);
