Check a configuration of the platform before it is published

Operators had no way to see before a change that a route can never match, that a key belongs to two organisations, or what a new version changes; the VMs leave such entries out, or prefer one of two, and say so only in their logs.

Keys appear as digits of their digests only.

Tests: contradictions and differences of configuration_check, check_routes of operator_commands. Weights and the rate that all upstreams can serve are not checked: neither is part of the configuration.

--- a/chervildrift/tests/operator_commands.rs
+++ b/chervildrift/tests/operator_commands.rs
@@ -54,6 +54,49 @@
     std::fs::remove_dir_all(folder).expect("removes the folder");
 }
 
+/// Guards against a configuration of the platform that is checked by other rules than those by which
+/// the VMs read it, and against output that shows keys.
+#[test]
+fn check_routes() {
+    let folder = std::env::temp_dir().join(format!("check-routes-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let write = |name: &str, version: u64, timeout: serde_json::Value, key: &str| {
+        let config = json!({"version": version, "routes": [{"name": "r1", "database_name": "d1",
+            "kind": "primary", "timeout_ms": timeout, "target_latency_ms": 800, "service": "svc"}],
+            "services": [{"name": "svc", "connection_limit": 30}],
+            "tenants": [{"name": "north", "api_keys": [key]}]});
+        let path = folder.join(name);
+        std::fs::write(&path, config.to_string()).expect("writes the file");
+        path.to_string_lossy().into_owned()
+    };
+    let in_force = write("in-force.json", 7, json!(1_000), "secret-one");
+    let new = write("new.json", 9, json!(500), "secret-two");
+    let odd = write("odd.json", 9, json!("soon"), "secret-two");
+    let good = run_command(&["check", "--routes", &new, "--against", &in_force]);
+    assert_eq!(good.status.code(), Some(0), "{}", output_text(&good));
+    let text = output_text(&good);
+    assert!(
+        text.contains("route of d1: timeout 1000 ms -> 500 ms"),
+        "{text}"
+    );
+    assert!(
+        text.contains("withdrawn") && !text.contains("secret"),
+        "{text}"
+    );
+    let outdated = run_command(&["check", "--routes", &in_force, "--against", &new, "--json"]);
+    assert_eq!(outdated.status.code(), Some(2));
+    let report: serde_json::Value = serde_json::from_slice(&outdated.stdout).expect("JSON");
+    assert_eq!(report["findings"][0]["place"], "version", "{report}");
+    let bad = run_command(&["check", "--routes", &odd]);
+    assert_eq!(bad.status.code(), Some(2));
+    let text = output_text(&bad);
+    assert!(
+        text.contains("error: routes[0]: can't be decoded"),
+        "{text}"
+    );
+    std::fs::remove_dir_all(folder).expect("removes the folder");
+}
+
 /// Guards against a `try` command that SIGTERM kills instead of stopping it gracefully.
 #[test]
 fn try_stops_on_sigterm() {
--- a/chervildrift_core/src/relay/mod.rs
+++ b/chervildrift_core/src/relay/mod.rs
@@ -10,6 +10,7 @@
 mod cached_view;
 mod choice;
 mod code;
+mod configuration_check;
 mod connection_cache;
 mod directory;
 mod election;
@@ -32,6 +33,10 @@
 pub use self::cached_view::{CachedView, ContentAges, LeaderStatus, Peer, ViewRequest, digest};
 pub use self::choice::{Candidate, choose_upstream};
 pub use self::code::Code;
+pub use self::configuration_check::{
+    ConfigurationChange, ConfigurationFinding, Severity, check_configuration,
+    compare_configurations,
+};
 pub use self::connection_cache::{
     ConnectionCache, ConnectionRequest, ConnectionStep, IdleConnection, preferred_upstream,
 };
