Share a constant of holders and the readers of two crowds

No change of behaviour: the check of configurations takes the minimum number of holders from where it is defined, and the crowds of full_pools and borrowed_connections read in one function.

--- a/chervildrift/tests/unruly_callers.rs
+++ b/chervildrift/tests/unruly_callers.rs
@@ -107,6 +107,15 @@
     response.starts_with(b"READY I").then_some(stream)
 }
 
+/// Reads again and again until the session ends.
+async fn read_forever(address: SocketAddr) -> Option<TcpStream> {
+    let mut stream = open(address).await?;
+    loop {
+        send(&mut stream, b"QUERY id READ item\r\n").await?;
+        read_until(&mut stream, "READY I -\r\n").await?;
+    }
+}
+
 /// Returns a large message that is within the limits.
 fn large_message(number: usize) -> Vec<u8> {
     let data = "x".repeat(LARGE_BYTES);
@@ -264,14 +273,7 @@
 /// connections to upstreams need.
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn full_pools() {
-    check_relay(LARGE_CROWD, |address, _| async move {
-        let mut stream = open(address).await?;
-        loop {
-            send(&mut stream, b"QUERY id READ item\r\n").await?;
-            read_until(&mut stream, "READY I -\r\n").await?;
-        }
-    })
-    .await;
+    check_relay(LARGE_CROWD, |address, _| read_forever(address)).await;
 }
 
 /// Guards against processes that run out of descriptors under callers whose statements wait for
@@ -287,18 +289,9 @@
     sleep(SETTLE_TIME).await;
     let vms = &fleet.vms[..CROWDED_VMS];
     let resources: Vec<_> = vms.iter().map(|it| Resources::observe(it.id())).collect();
-    let crowds = vms.iter().map(|vm| {
-        Crowd::spawn(CROWD, |_| {
-            let address = vm.callers;
-            async move {
-                let mut stream = open(address).await?;
-                loop {
-                    send(&mut stream, b"QUERY id READ item\r\n").await?;
-                    read_until(&mut stream, "READY I -\r\n").await?;
-                }
-            }
-        })
-    });
+    let crowds = vms
+        .iter()
+        .map(|vm| Crowd::spawn(CROWD, |_| read_forever(vm.callers)));
     let crowds: Vec<Crowd> = crowds.collect();
     sleep(CROWD_TIME).await;
     for (vm, resources) in vms.iter().zip(&resources) {
--- a/chervildrift_core/src/relay/configuration_check.rs
+++ b/chervildrift_core/src/relay/configuration_check.rs
@@ -9,12 +9,10 @@
 use derive_more::Display;
 use serde::Serialize;
 
+use super::holders::MIN_HOLDERS;
 use super::organisation::{KeyDigest, OrganisationRules, Quota};
 use super::route::{Consistency, Route, Routes, ServiceRules};
 
-/// Connections below which an upstream can't have as many holders as a fleet wants.
-const MIN_CONNECTIONS: usize = 3;
-
 /// Digits by which a key is named; its digest tells nothing about it.
 const FINGERPRINT_DIGITS: usize = 8;
 
@@ -127,9 +125,9 @@
         if rules.connections == 0 {
             let problem = "allows no connections, so that nothing is served";
             findings.push(ConfigurationFinding::error(&place, problem));
-        } else if rules.connections < MIN_CONNECTIONS {
+        } else if rules.connections < MIN_HOLDERS {
             let problem = format!(
-                "allows {} connections, fewer than the {MIN_CONNECTIONS} VMs that hold them",
+                "allows {} connections, fewer than the {MIN_HOLDERS} VMs that hold them",
                 rules.connections
             );
             findings.push(ConfigurationFinding::warning(&place, problem));
--- a/chervildrift_core/src/relay/holders.rs
+++ b/chervildrift_core/src/relay/holders.rs
@@ -42,7 +42,7 @@
 const MIN_STATEMENTS: usize = 2;
 
 /// Minimum number of holders, so that one can be lost without an interruption.
-const MIN_HOLDERS: usize = 3;
+pub(super) const MIN_HOLDERS: usize = 3;
 
 /// VMs after the holders in an upstream's order that take over when no holder responds.
 const DEPUTIES: usize = 2;
