Leave 48 sockets to the process itself in place of 32

borrowed_connections came to 196 and 197 of 200 sockets: 16 links of the VM's own tasks, the listeners, the store's and operators' connections and the runtime's descriptors are 36 at least, more than was left for them.

--- a/chervildrift_core/src/config/caller_limits.rs
+++ b/chervildrift_core/src/config/caller_limits.rs
@@ -21,7 +21,7 @@
 const FILE_RESERVE: usize = 200;
 
 /// Sockets for listeners, signals, the store, operators and the VM's own links to other VMs.
-const OWN_SOCKETS: usize = 32;
+const OWN_SOCKETS: usize = 48;
 
 /// Part of the sockets of callers that is for links to the VMs from which their statements borrow
 /// connections; the statements of further sessions wait for a link.
