--- a/review/standin-2/src/vm.rs
+++ b/review/standin-2/src/vm.rs
@@ -1,6 +1,6 @@
 //! Relaying VMs as separate processes, with settings like those of `deploy/relay.yaml`.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -12,6 +12,9 @@
 /// Time in which a VM becomes ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// First of the ports of a VM, below those of outgoing connections.
+const FIRST_PORT: u16 = 7_440;
+
 /// Folder that is removed when it is dropped.
 pub struct TempFolder(pub PathBuf);
 
@@ -63,16 +66,27 @@
     }
 }
 
-/// Returns free loopback addresses.
+/// Returns free addresses for the listeners of `count` VMs, three each.
+///
+/// Each VM has a loopback address of its own, so that no outgoing connection takes its ports.
 fn free_addresses(count: usize) -> std::io::Result<Vec<SocketAddr>> {
-    let bind = |_| TcpListener::bind("127.0.0.1:0");
-    let listeners: Vec<TcpListener> = (0..count).map(bind).collect::<Result<_, _>>()?;
-    listeners.iter().map(TcpListener::local_addr).collect()
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let mut addresses = Vec::new();
+    for vm in 1..=count {
+        let host = Ipv4Addr::new(127, 64 | (high & 63), low, vm as u8);
+        for port in FIRST_PORT..FIRST_PORT + 3 {
+            let address = SocketAddr::from((host, port));
+            // Fails if the port is in use.
+            drop(TcpListener::bind(address)?);
+            addresses.push(address);
+        }
+    }
+    Ok(addresses)
 }
 
 /// Starts VMs and waits until all of them are ready.
 pub async fn spawn_fleet(settings: &FleetSettings<'_>, count: usize) -> Result<Vec<Vm>, String> {
-    let addresses = free_addresses(3 * count).map_err(|err| err.to_string())?;
+    let addresses = free_addresses(count).map_err(|err| err.to_string())?;
     let mut vms = Vec::new();
     for (index, ports) in addresses.chunks(3).enumerate() {
         let mut vm = Vm::create(settings, index, ports, &addresses[2..3])?;
